--- /dev/null
+++ b/cmd/damaskctl/main.go
@@ -0,0 +1,4 @@
+// Command damaskctl is the operators' command line.
+package main
+
+func main() {}
--- /dev/null
+++ b/cmd/damasklever/main.go
@@ -0,0 +1,4 @@
+// Command damasklever runs the processes of the router.
+package main
+
+func main() {}
--- /dev/null
+++ b/internal/messenger/messenger_test.go
@@ -0,0 +1,90 @@
+package messenger_test
+
+import (
+	"context"
+	"io"
+	"testing"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/damasklever/damasklever/internal/messenger"
+	"github.com/damasklever/damasklever/internal/wire"
+)
+
+// Guards against messages that are lost, cut or mixed up on one stream, and
+// against a reader that is not told of the end.
+func TestStreamCarriesMessagesInOrder(t *testing.T) {
+	l, err := messenger.Listen("127.0.0.1:0", echo)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = l.Close() }()
+	session, err := messenger.Dial(t.Context(), l.Addr())
+	if err != nil {
+		t.Fatal(err)
+	}
+	stream, err := session.Open(t.Context())
+	if err != nil {
+		t.Fatal(err)
+	}
+	for seq := range int64(100) {
+		if err := stream.Send(&wire.Chunk{Seq: seq, Text: "text"}); err != nil {
+			t.Fatal(err)
+		}
+		var chunk wire.Chunk
+		if err := stream.Recv(&chunk); err != nil {
+			t.Fatal(err)
+		}
+		if got, want := chunk.GetSeq(), seq; got != want {
+			t.Fatalf("seq: got %d, want %d", got, want)
+		}
+	}
+	if err := stream.Send(&wire.Chunk{Seq: -1}); err != nil {
+		t.Fatal(err)
+	}
+	if got, want := stream.Recv(&wire.Chunk{}), io.EOF; !errors.Is(got, want) {
+		t.Errorf("after the end: got %v, want %v", got, want)
+	}
+}
+
+// echo answers each chunk and ends at a negative sequence number.
+func echo(_ context.Context, s *messenger.Stream) {
+	for {
+		var chunk wire.Chunk
+		if err := s.Recv(&chunk); err != nil || chunk.GetSeq() < 0 {
+			return
+		}
+		if err := s.Send(&chunk); err != nil {
+			return
+		}
+	}
+}
+
+// Guards against a Close that leaves handlers running or blocks on them.
+func TestListenerCloseEndsHandlers(t *testing.T) {
+	started, ended := make(chan struct{}), make(chan struct{})
+	l, err := messenger.Listen("127.0.0.1:0", func(ctx context.Context, _ *messenger.Stream) {
+		close(started)
+		<-ctx.Done()
+		close(ended)
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	session, err := messenger.Dial(t.Context(), l.Addr())
+	if err != nil {
+		t.Fatal(err)
+	}
+	stream, err := session.Open(t.Context())
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := stream.Send(&wire.Chunk{}); err != nil {
+		t.Fatal(err)
+	}
+	<-started
+	go func() { _ = l.Close() }()
+	<-ended
+	<-l.Done()
+	<-session.Done()
+}
