Add the state machine of one request

It takes events and the time and returns actions. Decode memory is reserved before the prefill; a stalled transfer tries a second path before a second prefill; a claimed call is dispatched at most once.

--- /dev/null
+++ b/internal/dispatcher/model.go
@@ -0,0 +1,145 @@
+package dispatcher
+
+import "time"
+
+// advance starts every step whose conditions hold: decode memory is reserved
+// before the prefill, because a prefill result is evicted in under a second.
+func (m *Machine) advance() {
+	if m.run.step == stepGranted {
+		m.dispatchRun()
+	}
+	if m.over {
+		return
+	}
+	if m.plain() {
+		if m.run.step == stepIdle {
+			m.ask(&m.run, "")
+		}
+
+		return
+	}
+	if m.decode.step == stepIdle {
+		m.ask(&m.decode, m.prefill.server())
+	}
+	if !m.over && m.prefill.step == stepIdle && m.decode.step == stepGranted {
+		m.ask(&m.prefill, m.decode.server())
+	}
+	if !m.over && m.prefill.step == stepGranted && m.decode.step == stepGranted {
+		m.dispatchPrefill()
+	}
+	if !m.over && m.prefill.step == stepReady && m.decode.step == stepGranted {
+		m.dispatchImport()
+	}
+}
+
+func (m *Machine) dispatch(t *track, limit time.Duration) *attempt {
+	t.step = stepSent
+	t.until = m.now.Add(limit)
+	t.cur.sent = true
+	m.unsure[t.cur.id] = true
+
+	return t.cur
+}
+
+func (m *Machine) dispatchPrefill() {
+	a := m.dispatch(&m.prefill, m.limits.Prefill)
+	m.do(Prefill{ID: a.id, Server: a.server})
+}
+
+func (m *Machine) dispatchImport() {
+	m.paths++
+	a := m.dispatch(&m.decode, m.limits.Transfer)
+	m.do(Import{
+		ID: a.id, Server: a.server, Handle: m.handle.Handle, Source: m.handle.Source,
+		From: m.prefill.server(), Tokens: m.handle.Tokens,
+	})
+}
+
+func (m *Machine) prefilled(e Prefilled) {
+	if !m.prefill.is(e.ID) || m.prefill.step != stepSent {
+		return
+	}
+	m.prefill.step = stepReady
+	m.prefill.until = time.Time{}
+	m.handle = e
+	m.paths = 0
+	m.advance()
+}
+
+func (m *Machine) imported(e Imported) {
+	if !m.decode.is(e.ID) || m.decode.step != stepSent {
+		return
+	}
+	m.decode.step = stepReady
+	m.decode.until = m.now.Add(m.limits.Gap)
+	m.stream.clear()
+	m.do(Decode{ID: e.ID, Server: m.decode.cur.server, Limit: m.req.Limit})
+	// The prefill server may evict the KV cache now.
+	m.drop(&m.prefill)
+	m.prefill.step = stepOver
+}
+
+// failedModel handles the end of a current prefill or decode attempt.
+func (m *Machine) failedModel(t *track, reason string) {
+	switch {
+	case t.step == stepGranted:
+		// Nothing was dispatched under this grant: another server is asked.
+		t.reason = reason
+		m.drop(t)
+		m.advance()
+	case t == &m.decode && t.step == stepSent && m.paths < maxPaths:
+		// Another decode server imports over another path, as long as the
+		// prefill server keeps the KV cache. No work is repeated.
+		m.do(Retried{Server: t.server(), Phase: t.phase, Reason: reason})
+		t.failed = append(t.failed, t.server())
+		t.reason = reason
+		m.drop(t)
+		m.advance()
+	default:
+		m.restart(t, reason)
+	}
+}
+
+// maxPaths is the number of import paths tried before a second prefill.
+const maxPaths = 2
+
+// restart runs a new prefill. It is allowed only before the first byte of the
+// answer, since a second answer may differ from the first.
+func (m *Machine) restart(t *track, reason string) {
+	if m.stream.next > 0 {
+		m.giveUp(statusFailed, reason, minRetryAfter)
+
+		return
+	}
+	server := t.server()
+	if !m.retry(server, t.phase, reason) {
+		return
+	}
+	t.failed = append(t.failed, server)
+	m.handle = Prefilled{}
+	m.drop(&m.prefill)
+	if m.decode.step >= stepSent {
+		m.drop(&m.decode)
+	}
+	for _, t := range m.tracks() {
+		t.retried()
+	}
+	m.advance()
+}
+
+// resume asks for the stream again at the first missing chunk.
+func (m *Machine) resume(reason string) {
+	t := &m.decode
+	m.stream.resumes++
+	if m.stream.resumes > m.limits.Resumes {
+		m.failed(t, reason, false)
+
+		return
+	}
+	t.until = m.now.Add(m.limits.Gap)
+	m.open[t.cur.id] = t.cur
+	m.do(Decode{
+		ID: t.cur.id, Server: t.cur.server, Offset: m.stream.next,
+		Limit: m.req.Limit, Resume: true,
+	})
+}
