--- a/internal/dispatcher/dispatcher_test.go
+++ b/internal/dispatcher/dispatcher_test.go
@@ -79,17 +79,13 @@
 }
 
 // step passes events in order.
-func (g *rig) step(events ...dispatcher.Event) []dispatcher.Action {
-	var out []dispatcher.Action
+func (g *rig) step(events ...dispatcher.Event) {
 	for _, e := range events {
-		out = append(out, g.machine.Step(g.now, e)...)
-	}
-	for _, a := range out {
-		g.record(a)
+		for _, a := range g.machine.Step(g.now, e) {
+			g.record(a)
+			g.all = append(g.all, a)
+		}
 	}
-	g.all = append(g.all, out...)
-
-	return out
 }
 
 func (g *rig) record(a dispatcher.Action) {
@@ -114,10 +110,9 @@
 }
 
 // wait moves the time and wakes the machine.
-func (g *rig) wait(d time.Duration) []dispatcher.Action {
+func (g *rig) wait(d time.Duration) {
 	g.now = g.now.Add(d)
-
-	return g.step(dispatcher.Woken{})
+	g.step(dispatcher.Woken{})
 }
 
 func (g *rig) chunk(id string, seq int64) dispatcher.Arrived {
--- /dev/null
+++ b/internal/dispatcher/property_test.go
@@ -0,0 +1,121 @@
+package dispatcher_test
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/damasklever/damasklever/internal/dispatcher"
+	"github.com/damasklever/damasklever/internal/wire"
+)
+
+const truth = "abcdef"
+
+// truthful chunks carry the same answer from every server.
+func randomEvent(t *rapid.T, g *rig) dispatcher.Event {
+	id := fmt.Sprintf("r.%d", rapid.IntRange(1, 12).Draw(t, "attempt"))
+	status := rapid.SampledFrom([]wire.Status{
+		wire.Status_STATUS_DONE, wire.Status_STATUS_FAILED, wire.Status_STATUS_CRASHED,
+		wire.Status_STATUS_REVOKED, wire.Status_STATUS_EVICTED, wire.Status_STATUS_CANCELLED,
+	}).Draw(t, "status")
+	switch rapid.IntRange(0, 14).Draw(t, "event") {
+	case 0, 1, 2:
+		return dispatcher.Granted{ID: id}
+	case 3:
+		return dispatcher.Refused{ID: id, After: time.Second}
+	case 4:
+		return dispatcher.Prefilled{ID: id, Handle: "h"}
+	case 5:
+		return dispatcher.Imported{ID: id}
+	case 6, 7, 8:
+		return g.chunk(id, rapid.Int64Range(0, int64(len(truth))-1).Draw(t, "seq"))
+	case 9:
+		return dispatcher.Ended{ID: id, Status: status, Chunks: int64(len(truth))}
+	case 10:
+		return dispatcher.Answered{ID: id, Status: 200}
+	case 11:
+		return dispatcher.Withdrawn{ID: id, Ran: rapid.Bool().Draw(t, "ran")}
+	case 12:
+		return dispatcher.Lost{ID: id}
+	case 13:
+		return dispatcher.Claimed{OK: rapid.Bool().Draw(t, "ok"), Fresh: rapid.Bool().Draw(t, "fresh")}
+	default:
+		g.now = g.now.Add(time.Duration(rapid.Int64Range(1, int64(3*time.Second)).Draw(t, "wait")))
+
+		return dispatcher.Woken{}
+	}
+}
+
+// endsAttempt reports whether the agent holds nothing more after the event.
+func endsAttempt(e dispatcher.Event) (id string, ends bool) {
+	switch e := e.(type) {
+	case dispatcher.Ended:
+		return e.ID, true
+	case dispatcher.Withdrawn:
+		return e.ID, true
+	case dispatcher.Answered:
+		return e.ID, true
+	case dispatcher.Refused:
+		return e.ID, true
+	}
+
+	return "", false
+}
+
+// Guards against an order of events, late, repeated or missing, in which a
+// request gets two final answers, a wrong text, a grant that is never
+// withdrawn, a second dispatch of a booking, or "not run" for a booking that
+// may have run.
+func TestRandomEvents(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		request := rapid.SampledFrom([]dispatcher.Request{model(), booking(), lookup()}).Draw(t, "request")
+		g := newRig(request)
+		g.fleet.budget = rapid.IntRange(0, 3).Draw(t, "budget")
+		g.step(dispatcher.Begin{})
+		confirmed := make(map[string]bool)
+		for range rapid.IntRange(0, 80).Draw(t, "events") {
+			e := randomEvent(t, g)
+			if id, ends := endsAttempt(e); ends {
+				delete(g.open, id)
+			}
+			if w, ok := e.(dispatcher.Withdrawn); ok && !w.Ran {
+				confirmed[w.ID] = true
+			}
+			before := len(g.final)
+			g.step(e)
+			if len(g.final) > before {
+				checkFinal(t, g, request, confirmed)
+			}
+			if !strings.HasPrefix(truth, g.text) {
+				t.Fatalf("text: got %q, want a prefix of %q", g.text, truth)
+			}
+		}
+		g.now = g.now.Add(time.Hour)
+		g.step(dispatcher.Woken{})
+		g.now = g.now.Add(time.Hour)
+		g.step(dispatcher.Woken{})
+		if got, want := len(g.final), 1; got != want {
+			t.Fatalf("final answers: got %d, want %d", got, want)
+		}
+		if len(g.open) > 0 || !g.machine.Over() {
+			t.Fatalf("at the end: got open %v, over %v, want none and true", g.open, g.machine.Over())
+		}
+		if request.Key != "" && g.sent["run"] > 1 {
+			t.Fatalf("dispatches of a booking: got %d, want at most 1", g.sent["run"])
+		}
+	})
+}
+
+func checkFinal(t *rapid.T, g *rig, request dispatcher.Request, confirmed map[string]bool) {
+	final := g.final[len(g.final)-1]
+	if final.Result == dispatcher.Done && request.Kind == wire.Kind_KIND_MODEL && g.text != truth {
+		t.Fatalf("answer reported as done: got %q, want %q", g.text, truth)
+	}
+	run := find[dispatcher.Run](g)
+	if request.Key != "" && run.ID != "" && final.Result == dispatcher.NotRun && !confirmed[run.ID] {
+		t.Fatalf("booking with an unconfirmed dispatch: got %+v, want may-have-run", final)
+	}
+}
