Add the operators' language

One table of fields and units serves parsing, printing and the cells of query results, so a value shown can be typed back. Beside create and change there is set, which creates or changes: a file of set statements can be applied twice, and printing uses it.

--- /dev/null
+++ b/internal/parser/printer.go
@@ -0,0 +1,51 @@
+package parser
+
+import (
+	"strings"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/damasklever/damasklever/internal/wire"
+)
+
+// Print writes a service, rank or rule as a set statement that parses back to
+// the same object. It names every field, so that the statement also sets back
+// fields that were changed since.
+func Print(m proto.Message) string {
+	kind := KindOf(m)
+	known := Fields(kind)
+	if len(known) == 0 {
+		return ""
+	}
+	parts := []string{Set, kind, quote(Format(m, known[0]), false)}
+	for _, f := range known[1:] {
+		if text := Format(m, f); text != "" || f.Unit != Type {
+			parts = append(parts, f.Name+"="+quote(text, false))
+		}
+	}
+
+	return strings.Join(parts, " ")
+}
+
+// PrintQuery writes a query as a show statement that parses back to it.
+func PrintQuery(q *wire.Query) string {
+	parts := []string{"show", q.GetSubject()}
+	for i, f := range q.GetFilters() {
+		joint := "and"
+		if i == 0 {
+			joint = "where"
+		}
+		parts = append(parts, joint, quote(f.GetField(), false), f.GetOp(), quote(f.GetValue(), false))
+	}
+	if q.GetSort() != "" {
+		parts = append(parts, "sort", quote(q.GetSort(), false))
+		if q.GetDesc() {
+			parts = append(parts, "desc")
+		}
+	}
+	if q.GetLimit() != 0 {
+		parts = append(parts, "limit", FormatInteger(Number, int64(q.GetLimit())))
+	}
+
+	return strings.Join(parts, " ")
+}
