Add the callers' HTTP by nbhttp

A handler of nbhttp hijacks and returns; the request runs in a goroutine of its own and is cancelled from Engine.OnClose. The library's write deadline was ruled out: it is not cleared after a background flush and would end a stream that pauses, so a watch on the progress of writes replaces it.

--- /dev/null
+++ b/internal/listener/input_test.go
@@ -0,0 +1,207 @@
+package listener_test
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+
+	"github.com/damasklever/damasklever/internal/listener"
+)
+
+// Guards against bad input that is accepted, gets no reason, or stops the
+// process.
+func TestBadInput(t *testing.T) {
+	big := strings.Repeat("x", 2000)
+	tests := map[string]struct {
+		request string
+		status  int
+		reason  string
+	}{
+		"no body":           {post("/v1/completions", ""), 400, "no body"},
+		"broken JSON":       {post("/v1/completions", `{"model":`), 400, "not valid JSON"},
+		"no object":         {post("/v1/completions", `[]`), 400, "not a JSON object"},
+		"two objects":       {post("/v1/completions", `{} {}`), 400, "after the JSON"},
+		"no model":          {post("/v1/completions", `{"prompt":"a"}`), 400, "model is missing"},
+		"no prompt":         {post("/v1/completions", `{"model":"m"}`), 400, "prompt must be a string"},
+		"prompt of numbers": {post("/v1/completions", `{"model":"m","prompt":[1]}`), 400, "prompt must be a string"},
+		"empty prompt":      {post("/v1/completions", `{"model":"m","prompt":""}`), 400, "prompt is empty"},
+		"no messages":       {post("/v1/chat/completions", `{"model":"m"}`), 400, "messages"},
+		"wrong type":        {post("/v1/completions", `{"model":1}`), 400, "model has the wrong type"},
+		"negative limit":    {post("/v1/completions", `{"model":"m","prompt":"a","max_tokens":-1}`), 400, "max_tokens"},
+		"two answers":       {post("/v1/completions", `{"model":"m","prompt":"a","n":2}`), 400, "n must be 1"},
+		"no bearer":         {post("/v1/completions", hello, "Authorization: Basic eA=="), 400, "bearer"},
+		"bad caller":        {post("/v1/completions", hello, "Damask-Caller: a b"), 400, "caller"},
+		"bad token count":   {post("/v1/completions", hello, "Damask-Tokens: many"), 400, "Damask-Tokens"},
+		"bad key":           {post("/s/d/p", "x", "Idempotency-Key: "+strings.Repeat("k", 256)), 400, "Idempotency-Key"},
+		"wrong method":      {"GET /v1/completions HTTP/1.1\r\nHost: h\r\n\r\n", 405, "POST"},
+		"unknown path":      {post("/v2", "x"), 404, "path"},
+		"no service":        {post("/s/", "x"), 404, "service"},
+		"body too long":     {post("/v1/completions", big), 413, "body"},
+		"body too long for the service": {
+			post("/s/small/p", strings.Repeat("x", 11)),
+			413, "body",
+		},
+		"announced body too long": {"POST /s/d/p HTTP/1.1\r\nHost: h\r\nContent-Length: 999999\r\n\r\nx", 413, "body"},
+		"chunks too long": {"POST /s/small/p HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n" +
+			"8\r\n12345678\r\n8\r\n12345678\r\n", 413, "body"},
+		"endless chunk": {"POST /s/small/p HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\nfffffff\r\n" +
+			strings.Repeat(big, 100), 413, "body"},
+		"two lengths": {
+			"POST /s/d/p HTTP/1.1\r\nHost: h\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\nx",
+			400, "length",
+		},
+		"header too long":  {post("/s/d/p", "x", "A: "+big), 431, "headers"},
+		"many headers":     {post("/s/d/p", "x", strings.Split(strings.Repeat("A: b,", 700)+"A: b", ",")...), 431, "headers"},
+		"endless header":   {"POST /s/d/p HTTP/1.1\r\nA: " + strings.Repeat(big, 100), 431, "headers"},
+		"long path":        {post("/s/d/"+big, "x"), 431, "headers"},
+		"not HTTP":         {"\x16\x03\x01", 400, "malformed"},
+		"unknown verb":     {"FETCH / HTTP/1.1\r\n\r\n", 400, "malformed"},
+		"broken chunk":     {"POST /s/d/p HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n", 400, "malformed"},
+		"header with a LF": {"POST /s/d/p HTTP/1.1\nHost: h\n\n", 400, "malformed"},
+	}
+	l, _ := start(t, echo(), listener.Settings{Body: 1000, Header: 1000})
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			conn, reader := wireup(t, l)
+			go io.WriteString(conn, test.request)
+			response := receive(t, reader)
+			var reason struct {
+				Error struct{ Message, Outcome string }
+			}
+			if err := json.Unmarshal([]byte(response.body), &reason); err != nil || strings.Count(response.body, "\n") != 1 {
+				t.Errorf("reason: got %q (%v), want one line of JSON", response.body, err)
+			}
+			if got, want := response.status, test.status; got != want {
+				t.Errorf("status: got %d (%s), want %d", got, response.body, want)
+			}
+			if got, want := reason.Error.Message, test.reason; !strings.Contains(got, want) {
+				t.Errorf("reason: got %q, want %q in it", got, want)
+			}
+			if got, want := response.header.Get("Damask-Outcome"), "not-run"; got != want {
+				t.Errorf("outcome: got %q, want %q", got, want)
+			}
+			conn, reader = wireup(t, l)
+			io.WriteString(conn, post("/s/d/p", ""))
+			if got, want := receive(t, reader).status, 201; got != want {
+				t.Errorf("next request: got %d, want %d", got, want)
+			}
+		})
+	}
+}
+
+// Guards against a caller that waits for the permission to send its body.
+func TestExpectContinue(t *testing.T) {
+	l, _ := start(t, echo(), listener.Settings{})
+	conn, reader := wireup(t, l)
+	head, body, _ := strings.Cut(post("/s/d/p", "x", "Expect: 100-continue"), "\r\n\r\n")
+	io.WriteString(conn, head+"\r\n\r\n")
+	line, _ := reader.ReadString('\n')
+	if got, want := line, "HTTP/1.1 100 Continue\r\n"; got != want {
+		t.Fatalf("got %q, want %q", got, want)
+	}
+	reader.ReadString('\n')
+	io.WriteString(conn, body)
+	if got := receive(t, reader).body; got != "POST /p x" {
+		t.Errorf("got %q, want the answer", got)
+	}
+}
+
+// Guards against a caller who sends without reading and fills the memory.
+func TestTooManyPipelined(t *testing.T) {
+	l, _ := start(t, echo(), listener.Settings{Pipeline: 2})
+	conn, reader := wireup(t, l)
+	go io.WriteString(conn, strings.Repeat(post("/s/d/p", "x"), 2000))
+	for n := 0; ; n++ {
+		response, err := http.ReadResponse(reader, nil)
+		if err != nil {
+			t.Fatalf("after %d responses: got %v, want status 429 at last", n, err)
+		}
+		io.Copy(io.Discard, response.Body)
+		response.Body.Close()
+		if response.StatusCode == http.StatusTooManyRequests {
+			return
+		}
+	}
+}
+
+// Guards against a caller taken from the wrong header.
+func TestCallerName(t *testing.T) {
+	tests := map[string]struct{ header, want string }{
+		"token":       {"Authorization: Bearer desk-1", "desk-1"},
+		"header":      {"Damask-Caller: desk-2", "desk-2"},
+		"token first": {"Damask-Caller: desk-2\r\nAuthorization: bearer desk-1", "desk-1"},
+		"none":        {"Accept: */*", listener.Anonymous},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			e := listener.NewExchange("/v1/completions", parseHeader(test.header), []byte(hello))
+			c, err := listener.ReadCompletion(e)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if got := c.Caller; got != test.want {
+				t.Errorf("got %q, want %q", got, test.want)
+			}
+		})
+	}
+}
+
+func parseHeader(text string) http.Header {
+	h := make(http.Header)
+	for line := range strings.SplitSeq(text, "\r\n") {
+		key, value, ok := strings.Cut(line, ": ")
+		if ok {
+			h.Add(key, value)
+		}
+	}
+
+	return h
+}
+
+// Guards against a body that makes the decoder panic, or that is accepted
+// without a model and a prompt.
+func FuzzCompletion(f *testing.F) {
+	f.Add(hello, false)
+	f.Add(`{"model":"m","messages":[{"content":[{"type":"text","text":"a"},"b",null]}]}`, true)
+	f.Add(`{"model":"m","prompt":["a"],"max_tokens":1e3,"n":1,"stream_options":null}`, false)
+	f.Fuzz(func(t *testing.T, body string, chat bool) {
+		path := "/v1/completions"
+		if chat {
+			path = "/v1/chat/completions"
+		}
+		c, err := listener.ReadCompletion(listener.NewExchange(path, nil, []byte(body)))
+		if err == nil && (c.Model == "" || c.Prompt == "" || c.Limit < 0) {
+			t.Errorf("got %+v, want a model, a prompt and a limit", c)
+		}
+	})
+}
+
+// Guards against a header that makes the decoder panic, or a caller or key that
+// breaks a log line.
+func FuzzHeaders(f *testing.F) {
+	f.Add("Authorization: Bearer x\r\nIdempotency-Key: k")
+	f.Add("Damask-Caller: c\r\nConnection: a, b\r\nDamask-Tokens: 9")
+	f.Fuzz(func(t *testing.T, text string) {
+		h := parseHeader(text)
+		c, err := listener.ReadCall(listener.NewExchange("/s/desk/path", h, nil))
+		if err == nil && (c.Caller == "" || strings.ContainsAny(c.Caller+c.Key, "\r\n\x00")) {
+			t.Errorf("got caller %q, key %q, want printable ones", c.Caller, c.Key)
+		}
+		_, _ = listener.ReadCompletion(listener.NewExchange("/v1/completions", h, []byte(hello)))
+	})
+}
+
+// Guards against settings that fail one at a time.
+func TestSettings(t *testing.T) {
+	s := listener.Settings{Body: -1, Idle: -1}
+	s.Defaults()
+	got := fmt.Sprint(s.Validate())
+	for _, want := range []string{"body", "idle"} {
+		if !strings.Contains(got, want) {
+			t.Errorf("got %q, want %q in it", got, want)
+		}
+	}
+}
--- /dev/null
+++ b/internal/listener/peer.go
@@ -0,0 +1,223 @@
+package listener
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/lesismal/nbio/nbhttp"
+)
+
+// lingerTime is how long input is read and dropped after the last response on
+// a connection. Closing at once would reset the connection while the caller
+// still sends, and could destroy the response on its way.
+const lingerTime = 2 * time.Second
+
+// peer is one connection of a caller. Its requests run one after the other, so
+// that responses to pipelined requests keep their order.
+type peer struct {
+	l      *Listener
+	conn   net.Conn
+	ctx    context.Context //nolint:containedctx // it is the lifetime of the connection
+	cancel context.CancelFunc
+
+	input input // used by the poller only
+
+	dropping atomic.Bool // input is read and dropped
+	faulty   atomic.Bool // input ended with a fault, so the caller may still send
+
+	mu    sync.Mutex
+	queue []*exchange // the first one is running
+	last  bool        // no request after those in the queue
+
+	out out
+}
+
+// out follows the bytes that wait for a slow caller.
+type out struct {
+	mu       sync.Mutex
+	pending  int
+	progress time.Time // of the last write, zero when nothing is pending
+	stop     func()
+	shut     bool // half-close when nothing is pending
+}
+
+func newPeer(l *Listener, conn net.Conn) *peer {
+	ctx, cancel := context.WithCancel(context.Background())
+
+	return &peer{l: l, conn: conn, ctx: ctx, cancel: cancel}
+}
+
+// gone is called after the connection is closed.
+func (p *peer) gone() {
+	p.cancel()
+	p.out.mu.Lock()
+	defer p.out.mu.Unlock()
+	if p.out.stop != nil {
+		p.out.stop()
+	}
+}
+
+// read parses input. A fault is answered in its turn and ends the connection.
+func (p *peer) read(parser *nbhttp.Parser, data []byte) {
+	if p.dropping.Load() {
+		return
+	}
+	p.input.attach(p, parser)
+	p.input.heading += len(data)
+	p.input.completed = false
+	err := parser.Parse(data)
+	if f := p.input.verdict(data, err, p.l.settings.Header); f != nil {
+		p.faulty.Store(true)
+		p.dropping.Store(true)
+		p.enqueue(&exchange{fault: f, close: true})
+	}
+}
+
+// enqueue runs an exchange after those that came before it.
+func (p *peer) enqueue(e *exchange) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.last {
+		return
+	}
+	if len(p.queue) >= p.l.settings.Pipeline {
+		// The caller doesn't wait for responses; it gets those it asked for.
+		e = &exchange{close: true, fault: &fault{
+			http.StatusTooManyRequests, "too many requests wait on this connection",
+		}}
+		p.faulty.Store(true)
+	}
+	if e.close {
+		p.last = true
+		p.dropping.Store(true)
+	}
+	p.l.begin()
+	p.queue = append(p.queue, e)
+	if len(p.queue) == 1 {
+		_ = p.conn.SetReadDeadline(time.Time{})
+		go p.run(e)
+	}
+}
+
+// run serves exchanges until the queue is empty.
+func (p *peer) run(e *exchange) {
+	for e != nil {
+		p.l.serve(p, e)
+		e = p.next(e)
+	}
+}
+
+// next ends an exchange and returns the one after it.
+func (p *peer) next(e *exchange) *exchange {
+	defer p.l.end()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.queue = p.queue[1:]
+	if len(p.queue) > 0 && !e.close && p.ctx.Err() == nil {
+		return p.queue[0]
+	}
+	for range p.queue {
+		p.l.end()
+	}
+	p.queue = nil
+	if e.close || p.l.draining.Load() {
+		p.last = true
+		p.hangUp()
+
+		return nil
+	}
+	_ = p.conn.SetReadDeadline(time.Now().Add(p.l.settings.Idle))
+
+	return nil
+}
+
+// closeIdle closes the connection if no request is running.
+func (p *peer) closeIdle() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if len(p.queue) == 0 && !p.last {
+		p.last = true
+		p.hangUp()
+	}
+}
+
+// hangUp closes the connection after its output has been sent. p.mu is held.
+func (p *peer) hangUp() {
+	p.dropping.Store(true)
+	p.out.mu.Lock()
+	p.out.shut = true
+	empty := p.out.pending <= 0
+	p.out.mu.Unlock()
+	if empty {
+		p.shut()
+	}
+}
+
+// shut closes the connection, after a while if the caller may still be sending.
+func (p *peer) shut() {
+	if p.faulty.Load() {
+		_ = p.conn.SetReadDeadline(time.Now().Add(lingerTime))
+
+		return
+	}
+	_ = p.conn.Close()
+}
+
+// Write sends bytes to the caller, in the background if it is slow.
+func (p *peer) Write(b []byte) (int, error) {
+	p.out.mu.Lock()
+	p.out.pending += len(b)
+	p.out.mu.Unlock()
+	n, err := p.conn.Write(b)
+	if err != nil {
+		p.cancel()
+
+		return max(n, 0), err //nolint:wrapcheck // io.Writer passes errors on
+	}
+	p.out.mu.Lock()
+	defer p.out.mu.Unlock()
+	if p.out.pending > 0 && p.out.progress.IsZero() {
+		p.out.progress = p.l.timers.Now()
+		p.watch(p.l.settings.Stall)
+	}
+
+	return n, nil
+}
+
+// watch checks after d that the caller has read something. p.out.mu is held.
+func (p *peer) watch(d time.Duration) {
+	p.out.stop = p.l.timers.After(d, func(now time.Time) {
+		p.out.mu.Lock()
+		defer p.out.mu.Unlock()
+		p.out.stop = nil
+		if p.out.pending <= 0 {
+			p.out.progress = time.Time{}
+
+			return
+		}
+		left := p.l.settings.Stall - now.Sub(p.out.progress)
+		if left > 0 {
+			p.watch(left)
+
+			return
+		}
+		go func() { _ = p.conn.Close() }()
+	})
+}
+
+// wrote counts sent bytes. The engine holds the connection's lock here.
+func (p *peer) wrote(n int) {
+	p.out.mu.Lock()
+	defer p.out.mu.Unlock()
+	p.out.pending -= n
+	if !p.out.progress.IsZero() {
+		p.out.progress = p.l.timers.Now()
+	}
+	if p.out.shut && p.out.pending <= 0 {
+		go p.shut()
+	}
+}
