--- /dev/null
+++ b/internal/attendant/settings.go
@@ -0,0 +1,109 @@
+// Package attendant is the agent process beside one backend server. It is the
+// only one that grants the server's memory pieces or call slots, carries out
+// the work of granted attempts, and cancels work that nobody waits for.
+package attendant
+
+import (
+	"net"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+const (
+	defaultLease   = 3 * time.Second
+	defaultLinger  = 10 * time.Second
+	defaultPieces  = 40
+	defaultStall   = 500 * time.Millisecond
+	defaultTimeout = 30 * time.Second
+)
+
+// Settings of one agent.
+type Settings struct {
+	Name    string   // of the backend server
+	Listen  string   // address for entries, "ip:port"
+	Addr    string   // address that entries dial, the listener's if empty
+	Backend string   // address of the backend server, "ip:port"
+	Control []string // addresses of the control hosts
+	Region  string
+	Centre  string
+	Service string
+	Phase   string // prefill, decode or plain
+	Pieces  int64  // memory pieces, or call slots of a plain service
+	Hosts   string // file with the host list; empty for none
+	// Lease is the time without a Renew after which an entry's grants end.
+	Lease time.Duration
+	// Linger is the time that the result of a finished attempt stays available
+	// to an entry that lost its stream.
+	Linger time.Duration
+	// Stall is the time without progress after which a transfer is abandoned.
+	Stall time.Duration
+	// Timeout bounds one plain call.
+	Timeout time.Duration
+}
+
+// Defaults fills the fields that are empty.
+func (s *Settings) Defaults() {
+	if s.Listen == "" {
+		s.Listen = "127.0.0.1:0"
+	}
+	if s.Phase == "" {
+		s.Phase = phaseDecode
+	}
+	if s.Pieces == 0 {
+		s.Pieces = defaultPieces
+	}
+	if s.Lease == 0 {
+		s.Lease = defaultLease
+	}
+	if s.Linger == 0 {
+		s.Linger = defaultLinger
+	}
+	if s.Stall == 0 {
+		s.Stall = defaultStall
+	}
+	if s.Timeout == 0 {
+		s.Timeout = defaultTimeout
+	}
+}
+
+// Validate reports every fault at once.
+func (s *Settings) Validate() error {
+	var err error
+	add := func(bad bool, format string, args ...any) {
+		if bad {
+			err = errors.Join(err, errors.Newf(format, args...))
+		}
+	}
+	add(s.Name == "", "name: is empty")
+	add(s.Service == "", "service: is empty")
+	add(s.Region == "", "region: is empty")
+	add(!isAddress(s.Listen), "listen: %q is not ip:port", s.Listen)
+	add(s.Addr != "" && !isAddress(s.Addr), "addr: %q is not ip:port", s.Addr)
+	add(!isAddress(s.Backend), "backend: %q is not ip:port", s.Backend)
+	for _, addr := range s.Control {
+		add(!isAddress(addr), "control: %q is not ip:port", addr)
+	}
+	add(s.Phase != phasePrefill && s.Phase != phaseDecode && s.Phase != phasePlain,
+		"phase: %q is not prefill, decode or plain", s.Phase)
+	add(s.Pieces < 1, "pieces: %d is less than 1", s.Pieces)
+	add(s.Lease < time.Second, "lease: %s is less than 1s", s.Lease)
+	add(s.Linger <= 0, "linger: %s is not positive", s.Linger)
+	add(s.Stall <= 0, "stall: %s is not positive", s.Stall)
+	add(s.Timeout <= 0, "timeout: %s is not positive", s.Timeout)
+
+	return err
+}
+
+func isAddress(addr string) bool {
+	_, _, err := net.SplitHostPort(addr)
+
+	return err == nil
+}
+
+// Names of the phases in settings, as registered with control.
+const (
+	phasePrefill = "prefill"
+	phaseDecode  = "decode"
+	phasePlain   = "plain"
+)
