--- a/internal/attendant/keeper.go
+++ b/internal/attendant/keeper.go
@@ -89,13 +89,11 @@
 
 // keeperSettings are the times and names a keeper works with.
 type keeperSettings struct {
-	server  string
 	epoch   uint64
 	plain   bool
 	lease   time.Duration
 	linger  time.Duration
 	isolate time.Duration // longest wait of a suspect for an idle server
-	slots   int64         // pieces of a plain call's ask
 }
 
 // keeper is the state machine of one agent: it owns every attempt, from its Ask
@@ -123,14 +121,14 @@
 // observer receives what the metrics count.
 type observer interface {
 	Asked(a *attempt)
-	Refused(service string, rank int32, reason string)
+	Refused(rank int32, reason string)
 	Ended(a *attempt, status string, age time.Duration)
 	Crashed()
 }
 
 func newKeeper(now time.Time, s keeperSettings, q grantQueue, b *blamer.Blamer, o observer) *keeper {
 	return &keeper{
-		s: s, queue: q, blamer: b, observe: o, began: now, 
+		s: s, queue: q, blamer: b, observe: o, began: now,
 		blocked:  func(string, time.Time) bool { return false },
 		attempts: make(map[string]*attempt), leases: make(map[string]time.Time),
 		epochs: make(map[string]uint64), past: make(map[string]past),
@@ -159,7 +157,7 @@
 	if reason, after := k.reject(now, ask); reason != "" {
 		k.refuse(l, id, reason, after)
 		k.remember(now, id, false)
-		k.observe.Refused(ask.GetService(), ask.GetRank(), reason)
+		k.observe.Refused(ask.GetRank(), reason)
 
 		return k.take()
 	}
@@ -260,7 +258,7 @@
 // forgetRefused drops an attempt whose ask was refused.
 func (k *keeper) forgetRefused(now time.Time, a *attempt, reason string, after time.Duration) {
 	k.refuse(a.link, a.id, reason, after)
-	k.observe.Refused(a.service, a.rank, reason)
+	k.observe.Refused(a.rank, reason)
 	k.forget(now, a)
 }
 
--- a/internal/attendant/pen.go
+++ b/internal/attendant/pen.go
@@ -69,7 +69,7 @@
 func (k *keeper) refusePenned(now time.Time, p *penned) {
 	k.refuse(p.link, p.ask.GetId(), reasonBusy, retryBusy)
 	k.remember(now, p.ask.GetId(), false)
-	k.observe.Refused(p.ask.GetService(), p.ask.GetRank(), reasonBusy)
+	k.observe.Refused(p.ask.GetRank(), reasonBusy)
 }
 
 func (k *keeper) unpen(id string) {
--- a/internal/attendant/settings.go
+++ b/internal/attendant/settings.go
@@ -4,6 +4,7 @@
 package attendant
 
 import (
+	"cmp"
 	"net"
 	"time"
 
@@ -16,6 +17,7 @@
 	defaultPieces  = 40
 	defaultStall   = 500 * time.Millisecond
 	defaultTimeout = 30 * time.Second
+	defaultDrain   = 5 * time.Minute
 )
 
 // Settings of one agent.
@@ -31,6 +33,7 @@
 	Phase   string // prefill, decode or plain
 	Pieces  int64  // memory pieces, or call slots of a plain service
 	Hosts   string // file with the host list; empty for none
+	Host    string // name of this host in the list, the address of Addr if empty
 	// Lease is the time without a Renew after which an entry's grants end.
 	Lease time.Duration
 	// Linger is the time that the result of a finished attempt stays available
@@ -40,6 +43,8 @@
 	Stall time.Duration
 	// Timeout bounds one plain call.
 	Timeout time.Duration
+	// Drain is the longest wait for running work when the agent leaves.
+	Drain time.Duration
 }
 
 // Defaults fills the fields that are empty.
@@ -65,6 +70,12 @@
 	if s.Timeout == 0 {
 		s.Timeout = defaultTimeout
 	}
+	if s.Drain == 0 {
+		s.Drain = defaultDrain
+	}
+	if s.Host == "" {
+		s.Host = hostOf(cmp.Or(s.Addr, s.Listen))
+	}
 }
 
 // Validate reports every fault at once.
@@ -91,6 +102,7 @@
 	add(s.Linger <= 0, "linger: %s is not positive", s.Linger)
 	add(s.Stall <= 0, "stall: %s is not positive", s.Stall)
 	add(s.Timeout <= 0, "timeout: %s is not positive", s.Timeout)
+	add(s.Drain <= 0, "drain: %s is not positive", s.Drain)
 
 	return err
 }
--- a/internal/driver/driver.go
+++ b/internal/driver/driver.go
@@ -131,7 +131,7 @@
 
 // call posts a body and decodes the JSON response into out.
 func (c *Client) call(ctx context.Context, path string, in, out any) error {
-	res, err := c.post(ctx, path, in)
+	res, err := c.post(ctx, path, in) //nolint:bodyclose // readBody closes it
 	if err != nil {
 		return err
 	}
--- a/internal/driver/engine.go
+++ b/internal/driver/engine.go
@@ -176,7 +176,7 @@
 func (c *Client) Work(ctx context.Context) ([]Work, error) {
 	ctx, cancel := context.WithTimeout(ctx, quickTimeout)
 	defer cancel()
-	res, err := c.get(ctx, "/work")
+	res, err := c.get(ctx, "/work") //nolint:bodyclose // readBody closes it
 	if err != nil {
 		return nil, errors.Newf("list work: %w", err)
 	}
@@ -192,7 +192,7 @@
 func (c *Client) Load(ctx context.Context) (Load, error) {
 	ctx, cancel := context.WithTimeout(ctx, quickTimeout)
 	defer cancel()
-	res, err := c.get(ctx, "/load")
+	res, err := c.get(ctx, "/load") //nolint:bodyclose // readBody closes it
 	if err != nil {
 		return Load{}, errors.Newf("read load: %w", err)
 	}
--- a/internal/imitator/plain.go
+++ b/internal/imitator/plain.go
@@ -146,7 +146,7 @@
 	case "lost":
 		panic(http.ErrAbortHandler)
 	case "crash":
-		p.Crash()
+		p.Crash() //nolint:contextcheck // the restart outlives the call
 
 		return
 	}
--- a/internal/imitator/serve.go
+++ b/internal/imitator/serve.go
@@ -157,7 +157,7 @@
 
 		return
 	}
-	if !pause(l.ctx, e.settings.LoadTime) {
+	if !pause(l.ctx, e.settings.LoadTime) { //nolint:contextcheck // an order goes on without its caller
 		return
 	}
 	e.mu.Lock()
@@ -212,7 +212,7 @@
 func fail(w http.ResponseWriter, status int, code, text string) {
 	w.Header().Set("Content-Type", "application/json")
 	w.WriteHeader(status)
-	_ = json.NewEncoder(w).Encode(Fault{Code: code, Text: text})
+	_ = json.NewEncoder(w).Encode(Fault{Code: code, Text: text}) //nolint:errchkjson // as in reply
 }
 
 // lines writes one JSON value a line and flushes each.
--- a/internal/imitator/work.go
+++ b/internal/imitator/work.go
@@ -143,7 +143,7 @@
 func (l *life) push(ctx context.Context, w http.ResponseWriter, j *job) bool {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	stop := context.AfterFunc(j.ctx, cancel)
+	stop := context.AfterFunc(j.ctx, cancel) //nolint:contextcheck // ends with the job as well as with the caller
 	defer stop()
 	flusher, _ := w.(http.Flusher)
 	for sent := int64(0); sent < j.tokens; {
