Test the grant queue, the picker and the admitter

Cause: the promises of the queue had no test that brings about the failure. The tests cover order, floors, shares, promises, leases, bounds and invariants under random events. They found a lost caller meter in the admitter, which let one caller take 80% of a rank, and a sample that missed the only idle region.

--- a/internal/admitter/service.go
+++ b/internal/admitter/service.go
@@ -189,9 +189,9 @@
 	}
 	m := u.callers[q.Caller]
 	if m == nil {
+		u.forget(now, window)
 		m = &meter{at: now}
 		u.callers[q.Caller] = m
-		u.forget(now, window)
 	}
 	m.add(now, work, window)
 	u.all.add(now, work, window)
--- /dev/null
+++ b/internal/granter/granter_test.go
@@ -0,0 +1,361 @@
+package granter
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+func at(ms int) time.Time { return start.Add(time.Duration(ms) * time.Millisecond) }
+
+func newGranter(t testing.TB, s Settings) *Granter {
+	t.Helper()
+	g, err := New(s)
+	if err != nil {
+		t.Fatalf("New: %v", err)
+	}
+
+	return g
+}
+
+// ask has a cost of 1 s and is due at 10 s.
+func ask(id string, rank, pieces int) Ask {
+	return Ask{
+		ID: id, Entry: "e1", Caller: "c-" + id, Rank: rank, Due: at(10_000), Pieces: pieces, Cost: time.Second,
+	}
+}
+
+func list(ds []Decision) string {
+	names := map[Kind]string{Granted: "granted", Refused: "refused", Revoked: "revoked", Firm: "firm", Waiting: "waiting"}
+	out := ""
+	for _, d := range ds {
+		out += d.ID + ":" + names[d.Kind]
+		if d.Reason != "" {
+			out += ":" + d.Reason
+		}
+		out += " "
+	}
+
+	return out
+}
+
+// Guards against a release that serves the wrong ask: the order is rank, then
+// deadline, and a small ask must not pass a large one for ever.
+func TestOrder(t *testing.T) {
+	t.Parallel()
+	s := Defaults(10)
+	s.Ranks = []Rank{{Share: 100}, {Share: 100}, {Share: 100}}
+	g := newGranter(t, s)
+	g.Ask(start, ask("full", 2, 10))
+	late := ask("late", 1, 4)
+	late.Due = at(9_000)
+	early := ask("early", 1, 8)
+	early.Due = at(8_000)
+	for _, a := range []Ask{ask("low", 2, 2), late, early, ask("urgent", 0, 2)} {
+		if got := list(g.Ask(start, a)); got != "" {
+			t.Fatalf("ask on a full server: got %q, want no decision", got)
+		}
+	}
+	got := list(g.Release(at(500), "full"))
+	if want := "urgent:granted early:granted "; got != want {
+		t.Errorf("order: got %q, want %q", got, want)
+	}
+	got = list(g.Release(at(600), "early"))
+	if want := "late:granted low:granted "; got != want {
+		t.Errorf("order: got %q, want %q", got, want)
+	}
+}
+
+// Guards against asks that wait although they cannot make their due time.
+func TestRefusals(t *testing.T) {
+	t.Parallel()
+	tests := map[string]struct {
+		before func(g *Granter)
+		ask    func(a *Ask)
+		want   string
+		after  bool
+	}{
+		"granted":         {want: "x:granted "},
+		"no id":           {ask: func(a *Ask) { a.ID = "" }, want: ":refused:invalid "},
+		"unknown rank":    {ask: func(a *Ask) { a.Rank = 7 }, want: "x:refused:invalid "},
+		"too large":       {ask: func(a *Ask) { a.Pieces = 11 }, want: "x:refused:size "},
+		"due already":     {ask: func(a *Ask) { a.Due = at(-1) }, want: "x:refused:deadline ", after: true},
+		"withdrawn first": {before: func(g *Granter) { g.Withdraw(start, "x") }, want: "x:refused:withdrawn "},
+		"duplicate":       {before: func(g *Granter) { g.Ask(start, ask("x", 1, 1)) }, want: "x:refused:duplicate "},
+		"draining":        {before: func(g *Granter) { g.Drain(start) }, want: "x:refused:drain "},
+		"would be late": {
+			before: func(g *Granter) { g.Ask(start, ask("full", 0, 10)) },
+			ask:    func(a *Ask) { a.Due = at(900) }, want: "x:refused:deadline ", after: true,
+		},
+		"queue full": {
+			before: func(g *Granter) {
+				for i := range 4 {
+					a := ask(fmt.Sprint(i), 1, 10)
+					a.Due = at(100_000)
+					a.Cost = 9 * time.Second
+					g.Ask(start, a)
+				}
+			},
+			ask:  func(a *Ask) { a.Due, a.Cost, a.Pieces = at(100_000), 9*time.Second, 10 },
+			want: "x:refused:queue ", after: true,
+		},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			g := newGranter(t, Defaults(10))
+			if tt.before != nil {
+				tt.before(g)
+			}
+			a := ask("x", 1, 1)
+			if tt.ask != nil {
+				tt.ask(&a)
+			}
+			ds := g.Ask(start, a)
+			if got := list(ds); got != tt.want {
+				t.Errorf("decisions: got %q, want %q", got, tt.want)
+			}
+			if got := ds[0].After > 0; got != tt.after {
+				t.Errorf("time to retry: got %s, want one: %v", ds[0].After, tt.after)
+			}
+		})
+	}
+}
+
+// Guards against starvation: with ranks 0 and 2 flooding, rank 1 with a floor
+// of 20% must get about a fifth of the grants, and a floor changed at run time
+// must count.
+func TestFloors(t *testing.T) {
+	t.Parallel()
+	for _, floor := range []int{0, 20, 40} {
+		s := Defaults(10)
+		g := newGranter(t, s)
+		s.Ranks = []Rank{{Share: 100}, {Floor: floor, Share: 100}, {Share: 100}}
+		if _, err := g.Configure(start, s); err != nil {
+			t.Fatalf("Configure: %v", err)
+		}
+		granted, _ := flood(t, g, 3, func(int) string { return "c" })
+		total := granted[0] + granted[1] + granted[2]
+		got := 100 * granted[1] / total
+		if got < floor*9/10 || got > floor+5 {
+			t.Errorf("floor %d%%: rank 1 got %d%% of %d grants", floor, got, total)
+		}
+	}
+}
+
+// flood offers 100 asks a second of ranks 0 to ranks-1 in turn to a server of
+// 10 units for 60 s and counts the grants by rank and by caller.
+func flood(t *testing.T, g *Granter, ranks int, caller func(i int) string) (map[int]int, map[string]int) {
+	t.Helper()
+	byRank, byCaller := map[int]int{}, map[string]int{}
+	asked := map[string]Ask{}
+	type job struct {
+		id  string
+		end time.Time
+	}
+	var running []job // ordered by end: all take a second
+	note := func(now time.Time, ds []Decision) {
+		for _, d := range ds {
+			if d.Kind == Granted {
+				byRank[asked[d.ID].Rank]++
+				byCaller[asked[d.ID].Caller]++
+				running = append(running, job{d.ID, now.Add(time.Second)})
+			}
+		}
+	}
+	for i := range 6000 {
+		now := at(10 * i)
+		for len(running) > 0 && !running[0].end.After(now) {
+			id := running[0].id
+			running = running[1:]
+			note(now, g.Release(now, id))
+		}
+		a := ask(fmt.Sprint(i), i%ranks, 1)
+		a.Caller = caller(i)
+		a.Due = now.Add(3 * time.Second)
+		asked[a.ID] = a
+		note(now, g.Ask(now, a))
+		note(now, g.Tick(now))
+	}
+
+	return byRank, byCaller
+}
+
+// Guards against one caller taking more than its share of a rank while others
+// wait: c0 sends most asks of an overloaded rank with a share of 25%.
+func TestShares(t *testing.T) {
+	t.Parallel()
+	s := Defaults(10)
+	s.Ranks = []Rank{{Share: 25}}
+	g := newGranter(t, s)
+	byRank, byCaller := flood(t, g, 1, func(i int) string {
+		if i%5 != 0 {
+			return "c0"
+		}
+
+		return fmt.Sprintf("c%d", 1+i/5%7)
+	})
+	if got := 100 * float64(byCaller["c0"]) / float64(byRank[0]); got > 25.5 {
+		t.Errorf("share: c0 got %.1f%% of %d grants, want at most 25%%", got, byRank[0])
+	}
+}
+
+// Guards against a promise that overcommits memory: a reservation may be
+// granted against a release expected in time, but dispatched only when the
+// units are free.
+func TestHold(t *testing.T) {
+	t.Parallel()
+	g := newGranter(t, Defaults(10))
+	g.Ask(start, ask("running", 1, 10))
+	soon, later := ask("soon", 1, 4), ask("later", 1, 4)
+	soon.Hold, later.Hold = 500*time.Millisecond, 1100*time.Millisecond
+	if got := list(g.Ask(start, later)); got != "later:granted " {
+		t.Errorf("hold beyond the expected release: got %q, want a grant", got)
+	}
+	if got := list(g.Ask(start, soon)); got != "" {
+		t.Errorf("hold shorter than the expected release: got %q, want none", got)
+	}
+	if d := g.Use(at(1100), "later"); d.Kind != Waiting {
+		t.Errorf("use of units that are not free: got kind %d, want Waiting", d.Kind)
+	}
+	got := list(g.Release(at(1150), "running"))
+	if want := "later:firm soon:granted "; got != want {
+		t.Errorf("release: got %q, want %q", got, want)
+	}
+	if d := g.Use(at(1200), "unknown"); d.Kind != Refused {
+		t.Errorf("use of an unknown id: got kind %d, want Refused", d.Kind)
+	}
+}
+
+// Guards against memory held for an entry that is gone.
+func TestLease(t *testing.T) {
+	t.Parallel()
+	g := newGranter(t, Defaults(10))
+	other := ask("other", 1, 5)
+	other.Entry = "e2"
+	g.Ask(start, ask("a", 1, 5))
+	g.Ask(start, other)
+	g.Ask(start, ask("waiting", 1, 5))
+	for ms := 1000; ms <= 3000; ms += 1000 {
+		g.Renew(at(ms), "e2")
+		if got := list(g.Tick(at(ms))); got != "" {
+			t.Errorf("tick at %d ms: got %q, want none", ms, got)
+		}
+	}
+	got := list(g.Tick(at(3001)))
+	if want := "a:revoked:lease waiting:refused:lease "; got != want {
+		t.Errorf("lease end: got %q, want %q", got, want)
+	}
+	if got := g.Load(at(3001)).Free; got != 5 {
+		t.Errorf("free: got %d, want 5", got)
+	}
+}
+
+// Guards against unbounded memory of withdrawn ids.
+func TestWithdrawnBounds(t *testing.T) {
+	t.Parallel()
+	s := Defaults(10)
+	s.Withdrawn = 3
+	g := newGranter(t, s)
+	for i := range 5 {
+		g.Withdraw(at(i), fmt.Sprint(i))
+	}
+	if g.Withdrawn(at(5), "1") || !g.Withdrawn(at(5), "2") {
+		t.Error("count: want only the latest 3 ids remembered")
+	}
+	if g.Withdrawn(at(40_000), "4") {
+		t.Error("time: want no id remembered after 30 s")
+	}
+}
+
+// Guards against overcommitment, double grants and lost units under any order
+// of events.
+func TestInvariants(t *testing.T) {
+	t.Parallel()
+	rapid.Check(t, func(t *rapid.T) {
+		s := Defaults(10)
+		g, _ := New(s)
+		now := start
+		granted := map[string]int{} // units by id
+		firm := map[string]bool{}
+		ended := map[string]bool{}
+		asked := map[string]Ask{}
+		note := func(ds []Decision) {
+			for _, d := range ds {
+				if ended[d.ID] && d.Kind != Refused {
+					t.Fatalf("decision %v after the end of %s", d, d.ID)
+				}
+				switch d.Kind {
+				case Granted:
+					if granted[d.ID] != 0 {
+						t.Fatalf("%s granted twice", d.ID)
+					}
+					granted[d.ID] = asked[d.ID].Pieces
+					firm[d.ID] = asked[d.ID].Hold == 0
+				case Firm:
+					firm[d.ID] = true
+				case Refused, Revoked:
+					if d.Reason != ReasonDuplicate {
+						delete(granted, d.ID)
+						ended[d.ID] = true
+					}
+				case Waiting:
+				}
+			}
+		}
+		n := rapid.IntRange(1, 80).Draw(t, "events")
+		for i := range n {
+			now = now.Add(time.Duration(rapid.IntRange(0, 700).Draw(t, "step")) * time.Millisecond)
+			id := fmt.Sprint(rapid.IntRange(0, i).Draw(t, "id"))
+			switch rapid.IntRange(0, 6).Draw(t, "kind") {
+			case 0, 1, 2:
+				id = fmt.Sprint(i)
+				a := Ask{
+					ID: id, Entry: "e", Caller: rapid.SampledFrom([]string{"a", "b"}).Draw(t, "caller"),
+					Rank: rapid.IntRange(0, 2).Draw(t, "rank"), Pieces: rapid.IntRange(1, 10).Draw(t, "pieces"),
+					Cost: time.Duration(rapid.IntRange(0, 3000).Draw(t, "cost")) * time.Millisecond,
+					Hold: time.Duration(rapid.IntRange(0, 1).Draw(t, "hold")*rapid.IntRange(0, 2000).Draw(t, "ms")) * time.Millisecond,
+					Due:  now.Add(time.Duration(rapid.IntRange(0, 5000).Draw(t, "due")) * time.Millisecond),
+				}
+				asked[id] = a
+				note(g.Ask(now, a))
+			case 3:
+				if d := g.Use(now, id); d.Kind == Firm {
+					firm[id] = true
+				}
+			case 4:
+				delete(granted, id)
+				ended[id] = ended[id] || asked[id].ID != ""
+				note(g.Withdraw(now, id))
+			case 5:
+				if granted[id] != 0 {
+					delete(granted, id)
+					ended[id] = true
+					note(g.Release(now, id))
+				}
+			case 6:
+				g.Renew(now, "e")
+				note(g.Tick(now))
+			}
+			sum := 0
+			for id, units := range granted {
+				if firm[id] {
+					sum += units
+				}
+			}
+			if sum > 10 {
+				t.Fatalf("units in use: got %d, want at most 10", sum)
+			}
+		}
+		for id := range asked {
+			g.Withdraw(now, id)
+		}
+		if l := g.Load(now); l.Free != 10 || len(g.Grants()) != 0 {
+			t.Fatalf("after all ends: free %d, grants %v, want 10 and none", l.Free, g.Grants())
+		}
+	})
+}
--- a/internal/picker/cache.go
+++ b/internal/picker/cache.go
@@ -1,28 +1,22 @@
 package picker
 
+import "slices"
+
 // maxHolders bounds the servers remembered for one prefix. More copies add
 // little: the nearest idle one is usually among the latest four.
 const maxHolders = 4
 
 // holders are the servers believed to cache one prefix, the latest last.
 type holders struct {
-	server [maxHolders]string
+	server [maxHolders]*node
 	n      int
 }
 
-func (h *holders) names() []string { return h.server[:h.n] }
-
-func (h *holders) has(server string) bool {
-	for _, s := range h.server[:h.n] {
-		if s == server {
-			return true
-		}
-	}
-
-	return false
+func (h *holders) has(server *node) bool {
+	return slices.Contains(h.server[:h.n], server)
 }
 
-func (h *holders) add(server string) {
+func (h *holders) add(server *node) {
 	if h.has(server) {
 		return
 	}
@@ -34,12 +28,12 @@
 	h.n++
 }
 
-func (h *holders) remove(server string) {
+func (h *holders) remove(server *node) {
 	for i, s := range h.server[:h.n] {
 		if s == server {
 			copy(h.server[i:], h.server[i+1:h.n])
 			h.n--
-			h.server[h.n] = ""
+			h.server[h.n] = nil
 
 			return
 		}
@@ -58,7 +52,7 @@
 	return cache{holders: map[uint64]*holders{}, ring: make([]uint64, 0, size)}
 }
 
-func (c *cache) add(hash uint64, server string) {
+func (c *cache) add(hash uint64, server *node) {
 	h := c.holders[hash]
 	if h == nil {
 		h = &holders{}
@@ -75,27 +69,35 @@
 }
 
 // remove keeps an emptied entry, which leaves the ring by its age.
-func (c *cache) remove(hash uint64, server string) {
+func (c *cache) remove(hash uint64, server *node) {
 	if h := c.holders[hash]; h != nil {
 		h.remove(server)
 	}
 }
 
 // forget removes a server that left the view.
-func (c *cache) forget(server string) {
+func (c *cache) forget(server *node) {
 	for _, h := range c.holders {
 		h.remove(server)
 	}
 }
 
-// longest returns the longest cached prefix and its holders, or nil.
-func (c *cache) longest(prefix []uint64) (int, *holders) {
+// longest appends the servers believed to hold the longest cached prefixes to
+// hits, at most maxHolders of them, the longest first.
+func (c *cache) longest(prefix []uint64, hits []hit) []hit {
 	low := max(len(prefix)-maxPrefix, 0)
-	for i := len(prefix); i > low; i-- {
-		if h := c.holders[prefix[i-1]]; h != nil && h.n > 0 {
-			return i, h
+	for i := len(prefix); i > low && len(hits) < maxHolders; i-- {
+		h := c.holders[prefix[i-1]]
+		if h == nil {
+			continue
+		}
+		for _, server := range h.server[:h.n] {
+			known := slices.ContainsFunc(hits, func(x hit) bool { return x.node == server })
+			if !known && len(hits) < maxHolders {
+				hits = append(hits, hit{server, i})
+			}
 		}
 	}
 
-	return 0, nil
+	return hits
 }
--- a/internal/picker/picker.go
+++ b/internal/picker/picker.go
@@ -76,6 +76,12 @@
 	active bool      // member of the current view
 }
 
+// scored is a candidate and what is known of it.
+type scored struct {
+	Candidate
+	node *node
+}
+
 // place is the key of the index.
 type place struct{ service, phase, area string }
 
@@ -89,7 +95,8 @@
 	all    map[place][]*node // with an empty area
 	cache  cache
 	seen   []*node // scratch space of Pick
-	scored []Candidate
+	scored []scored
+	hits   []hit
 }
 
 // New returns a picker that knows no servers. It returns the error of
@@ -133,7 +140,7 @@
 	for name, n := range p.nodes {
 		if !n.active {
 			delete(p.nodes, name)
-			p.cache.forget(name)
+			p.cache.forget(n)
 		}
 	}
 }
@@ -149,14 +156,15 @@
 // cache, or evicted from it. Events may be late or lost; a wrong view costs a
 // prefill, never an answer.
 func (p *Picker) Cached(_ time.Time, server string, prefix []uint64, present bool) {
-	if p.nodes[server] == nil {
+	n := p.nodes[server]
+	if n == nil {
 		return
 	}
 	for _, h := range prefix {
 		if present {
-			p.cache.add(h, server)
+			p.cache.add(h, n)
 		} else {
-			p.cache.remove(h, server)
+			p.cache.remove(h, n)
 		}
 	}
 }
@@ -182,29 +190,31 @@
 // Pick returns at most n candidates, best first, and counts the asks that are
 // expected to follow. The result is empty if no server of the phase is known.
 func (p *Picker) Pick(now time.Time, q Query, n int) []Candidate {
-	p.gather(q)
+	from := p.gather(q)
 	p.scored = p.scored[:0]
 	for _, nd := range p.seen {
 		if now.Before(nd.until) || nd.load.Leaving || slices.Contains(q.Avoid, nd.Name) {
 			continue
 		}
-		p.scored = append(p.scored, p.score(now, q, nd))
+		p.scored = append(p.scored, scored{p.score(now, q, from, nd), nd})
 	}
 	if len(p.scored) == 0 { // better a server that failed lately than none
 		for _, nd := range p.seen {
 			if !nd.load.Leaving && !slices.Contains(q.Avoid, nd.Name) {
-				p.scored = append(p.scored, p.score(now, q, nd))
+				p.scored = append(p.scored, scored{p.score(now, q, from, nd), nd})
 			}
 		}
 	}
-	slices.SortFunc(p.scored, func(a, b Candidate) int { return cmp.Compare(a.Score, b.Score) })
+	slices.SortFunc(p.scored, func(a, b scored) int { return cmp.Compare(a.Score, b.Score) })
 	n = min(n, len(p.scored))
 	if n <= 0 {
 		return nil
 	}
-	for _, c := range p.scored[:n] {
-		p.nodes[c.Server].sent += 1 / float64(n)
+	out := make([]Candidate, n)
+	for i, c := range p.scored[:n] {
+		c.node.sent += 1 / float64(n)
+		out[i] = c.Candidate
 	}
 
-	return slices.Clone(p.scored[:n])
+	return out
 }
--- a/internal/picker/score.go
+++ b/internal/picker/score.go
@@ -9,70 +9,86 @@
 // reports from all choosing the same server.
 const noise = 2e-3
 
+// origin is where the traffic to a candidate comes from.
+type origin struct {
+	region, centre string
+	kv             bool // the traffic is KV cache
+}
+
+// hit is a server believed to hold leading pieces of the prompt.
+type hit struct {
+	node   *node
+	pieces int
+}
+
 // gather fills seen with a bounded sample of servers: near ones first, a few
 // from elsewhere, and those believed to hold the longest cached prefix.
-func (p *Picker) gather(q Query) {
+func (p *Picker) gather(q Query) origin {
 	p.seen = p.seen[:0]
-	centre, region := q.Centre, q.Region
+	from := origin{region: q.Region, centre: q.Centre}
 	if near := p.nodes[q.Near]; near != nil {
-		centre, region = near.Centre, near.Region
+		from = origin{region: near.Region, centre: near.Centre, kv: true}
 	}
-	p.sample(p.centre[place{q.Service, q.Phase, centre}])
-	p.sample(p.region[place{q.Service, q.Phase, region}])
+	p.sample(p.centre[place{q.Service, q.Phase, from.centre}])
+	p.sample(p.region[place{q.Service, q.Phase, from.region}])
 	p.sample(p.all[place{q.Service, q.Phase, ""}])
-	if _, holders := p.cache.longest(q.Prefix); holders != nil {
-		for _, name := range holders.names() {
-			if n := p.nodes[name]; n != nil && n.Service == q.Service && n.Phase == q.Phase &&
-				!n.Drained && !slices.Contains(p.seen, n) {
-				p.seen = append(p.seen, n)
-			}
+	p.hits = p.hits[:0]
+	if q.Phase != Prefill {
+		return from
+	}
+	p.hits = p.cache.longest(q.Prefix, p.hits)
+	for _, h := range p.hits {
+		if n := h.node; n.Service == q.Service && n.Phase == q.Phase &&
+			!n.Drained && !slices.Contains(p.seen, n) {
+			p.seen = append(p.seen, n)
 		}
 	}
+
+	return from
 }
 
-// sample adds up to Settings.Sample servers of list: all of a short list, else
-// random ones, so that the cost does not grow with the list.
+// sample adds up to Settings.Sample servers of list that are not in seen yet,
+// from a random place on. The cost does not grow with the list.
 func (p *Picker) sample(list []*node) {
-	if len(list) <= p.s.Sample {
-		for _, n := range list {
-			if !slices.Contains(p.seen, n) {
-				p.seen = append(p.seen, n)
-			}
-		}
-
+	if len(list) == 0 {
 		return
 	}
-	for range p.s.Sample {
-		if n := list[p.rand.IntN(len(list))]; !slices.Contains(p.seen, n) {
+	i := p.rand.IntN(len(list))
+	left := p.s.Sample
+	for range min(len(list), 4*p.s.Sample) {
+		if n := list[i]; !slices.Contains(p.seen, n) {
 			p.seen = append(p.seen, n)
+			if left--; left == 0 {
+				return
+			}
+		}
+		if i++; i == len(list) {
+			i = 0
 		}
 	}
 }
 
 // score is the expected cost of a server in seconds.
-func (p *Picker) score(now time.Time, q Query, n *node) Candidate {
+func (p *Picker) score(now time.Time, q Query, from origin, n *node) Candidate {
 	c := Candidate{Server: n.Name, Wait: p.wait(now, q, n)}
-	region, centre := q.Region, q.Centre
-	kv := false
-	if near := p.nodes[q.Near]; near != nil {
-		region, centre, kv = near.Region, near.Centre, true
-	}
 	cost := c.Wait
 	switch {
-	case n.Region != region:
+	case n.Region != from.region:
 		c.Paid = true
 		cost += 2 * p.s.Regions
-		if kv {
+		if from.kv {
 			cost += p.s.Cross
 		} else {
 			cost += p.s.Paid
 		}
-	case n.Centre != centre:
+	case n.Centre != from.centre:
 		cost += 2 * p.s.Centres
 	}
-	if q.Phase == Prefill {
-		c.Cached = p.cached(q, n.Name)
-		cost -= time.Duration(c.Cached) * p.s.Prefill
+	for _, h := range p.hits {
+		if h.node == n {
+			c.Cached = h.pieces
+			cost -= time.Duration(c.Cached) * p.s.Prefill
+		}
 	}
 	c.Score = cost.Seconds() + noise*p.rand.Float64()
 
@@ -90,10 +106,13 @@
 	if q.Rank >= 0 && q.Rank < len(n.load.Waits) {
 		w = n.load.Waits[q.Rank]
 	}
-	// The fuller the server, the more likely the grant waits for a release.
-	full := 1 - float64(n.load.Free)/float64(max(n.load.Total, 1))
+	ahead := n.sent
+	if q.Phase != Prefill {
+		// The fuller the server, the more likely the grant waits for a release.
+		ahead += 1 - float64(n.load.Free)/float64(max(n.load.Total, 1))
+	}
 
-	return w + time.Duration((n.sent+full)*float64(unit))
+	return w + time.Duration(ahead*float64(unit))
 }
 
 // unit is the delay that one more ask is expected to add.
@@ -104,16 +123,3 @@
 
 	return p.s.Prefill / time.Duration(max(n.load.Total, n.Pieces, 1)) * time.Duration(max(q.Pieces, 1))
 }
-
-// cached is the number of leading pieces of the prompt that the server is
-// believed to hold.
-func (p *Picker) cached(q Query, server string) int {
-	low := max(len(q.Prefix)-maxPrefix, 0)
-	for i := len(q.Prefix); i > low; i-- {
-		if h := p.cache.holders[q.Prefix[i-1]]; h != nil && h.has(server) {
-			return i
-		}
-	}
-
-	return 0
-}
--- a/internal/picker/settings.go
+++ b/internal/picker/settings.go
@@ -24,7 +24,7 @@
 // Defaults returns the settings of the current deployments.
 func Defaults() Settings {
 	return Settings{
-		Sample:  4,
+		Sample:  2,
 		Centres: 1500 * time.Microsecond,
 		Regions: 12 * time.Millisecond,
 		Paid:    100 * time.Millisecond,
