Measure the policy against an engine model in virtual time

Cause: nothing showed how the grant queue, the picker, the admitter and the request state machine behave together under overload and faults. The benchmark drives the same code, without sockets or goroutines, and compares it with round robin, first come first served, no reservation. The bound is the size-neutral one: all ranks and sizes in the offered mix. A bound that picks the cheapest requests is printed as best; it never serves a long prompt. work% is the engine time of good answers over what the engines can give.

--- /dev/null
+++ b/internal/evaluator/table_test.go
@@ -0,0 +1,235 @@
+package evaluator
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"slices"
+	"sync"
+	"testing"
+	"text/tabwriter"
+	"time"
+)
+
+const (
+	warmUp    = 10 * time.Second
+	longRun   = 70 * time.Second
+	modelPool = 3 // prefill engines
+	decoders  = 6
+)
+
+// costs are the engine seconds that a request needs at least.
+func (r *request) costs() (prefill, decode float64) {
+	if r.plain() {
+		return 0, 0
+	}
+	common := 0
+	for _, h := range r.prefix {
+		if h>>63 == 0 && h>>32 != 0 {
+			common++ // cached by the best policy
+		}
+	}
+	prefill = prefillFixed.Seconds() + float64(r.tokens-common*pieceTokens)/prefillRate
+	// An iteration of a full engine takes gapBase and gapEach for each stream;
+	// the streams share gapBase by the memory that they take.
+	each := gapEach.Seconds() + gapBase.Seconds()*float64(r.pieces())/enginePieces
+
+	return prefill, each * float64(r.output)
+}
+
+// limits is what the engines can do.
+type limits struct {
+	requests        float64 // model requests a second
+	prefill, decode float64 // mean engine seconds of a request
+}
+
+var capacity = sync.OnceValue(func() limits {
+	const samples = 200_000
+	var l limits
+	w := &world{rand: rand.New(rand.NewPCG(1, 1))}
+	for range samples {
+		r := &request{service: "summary"}
+		r.sizePrompt(w)
+		p, d := r.costs()
+		l.prefill += p / samples
+		l.decode += d / samples
+	}
+	l.requests = min(modelPool/l.prefill, decoders/l.decode)
+
+	return l
+})
+
+// row is one line of the table. Fractions are of the requests that arrived in
+// the window; goodput counts the good answers completed in it. Everything but
+// the fraction of the booking service is of the model service: plain calls cost
+// little and would hide what happens to the engines.
+type row struct {
+	goodput, bound, best float64 // answers a second
+	work                 float64 // engine time of good answers, as part of what the engines can give
+	rank                 [3]float64
+	service              [2]float64
+	region               [3]float64
+	answers              [3]float64 // good answers a second by rank
+	kept                 float64    // least good answers of a rank not flooding, as part of its floor or its load
+	wasted, refused      float64
+	paid                 float64 // MB/s
+	messages             float64 // a request
+	share                float64 // largest part of a rank's answers that one caller got
+	failures, counts     map[string]int
+}
+
+type ratio struct{ good, all float64 }
+
+func (r *ratio) add(good bool) {
+	r.all++
+	if good {
+		r.good++
+	}
+}
+
+func (r ratio) value() float64 {
+	if r.all == 0 {
+		return 1
+	}
+
+	return r.good / r.all
+}
+
+func measure(w *world, sc scenario, length time.Duration) row {
+	from, to := start.Add(warmUp), start.Add(length)
+	window := to.Sub(from).Seconds()
+	var rank, region [3]ratio
+	var summary, booking, refused ratio
+	var offered [3]float64
+	callers := [3]map[string]float64{{}, {}, {}}
+	var spent, wasted time.Duration
+	var prefills, decodes []float64
+	var work float64
+	out := row{failures: map[string]int{}, counts: w.counts}
+	for _, r := range w.requests {
+		spent += r.spent
+		wasted += r.wasted()
+		if r.plain() {
+			if !r.arrived.Before(from) {
+				booking.add(r.good())
+			}
+
+			continue
+		}
+		if r.good() && !r.last.Before(from) && r.last.Before(to) {
+			out.goodput += 1 / window
+			_, d := r.costs()
+			work += d
+			out.answers[r.rank] += 1 / window
+		}
+		if r.done && !r.last.Before(from) && r.last.Before(to) {
+			callers[r.rank][r.caller]++
+		}
+		if r.arrived.Before(from) {
+			continue
+		}
+		offered[r.rank] += 1 / window
+		p, d := r.costs()
+		prefills = append(prefills, p)
+		decodes = append(decodes, d)
+		rank[r.rank].add(r.good())
+		region[r.region].add(r.good())
+		summary.add(r.good())
+		refused.add(r.refused && !r.done)
+		if !r.done {
+			out.failures[r.failure]++
+		}
+	}
+	scale := 1.0
+	if sc.f.kill { // one of the decode engines is gone after a third of the run
+		scale -= (length - max(length/3, warmUp)).Seconds() / window / decoders
+	}
+	all := offered[0] + offered[1] + offered[2]
+	full := capacity().requests * scale
+	out.bound = min(all, full)
+	out.best = min(fill(prefills, modelPool*window), fill(decodes, decoders*window*scale)) / window
+	demand := 0.0
+	for _, d := range decodes {
+		demand += d
+	}
+	out.work = work / min(demand, decoders*window*scale)
+	for i := range rank {
+		out.rank[i], out.region[i] = rank[i].value(), region[i].value()
+		for _, n := range callers[i] {
+			sum := 0.0
+			for _, m := range callers[i] {
+				sum += m
+			}
+			out.share = max(out.share, n/sum)
+		}
+	}
+	out.service = [2]float64{summary.value(), booking.value()}
+	out.kept = 10
+	for i, r := range rankSettings {
+		if sc.rates[i] > 2 {
+			continue
+		}
+		floor := offered[i]
+		if sc.rates[0] > 2 { // the more urgent work may take all but the floors
+			floor = min(floor, full*float64(r.floor)/100)
+		}
+		out.kept = min(out.kept, out.answers[i]/floor)
+	}
+	out.refused = refused.value()
+	out.wasted = wasted.Seconds() / max(spent.Seconds(), 1e-9)
+	out.paid = w.paid / 1e6 / length.Seconds()
+	out.messages = float64(w.messages) / float64(len(w.requests))
+
+	return out
+}
+
+// fill counts the requests that fit into an amount of engine time when the
+// cheapest are chosen. No policy does better, but it never serves long prompts.
+func fill(costs []float64, room float64) float64 {
+	slices.Sort(costs)
+	n := 0.0
+	for _, c := range costs {
+		if room -= c; room < 0 {
+			break
+		}
+		n++
+	}
+
+	return n
+}
+
+func versions() []version {
+	return []version{{name: "baseline", fifo: true}, {name: "this"}}
+}
+
+// BenchmarkPolicy prints the table of docs/POLICY.md.
+func BenchmarkPolicy(b *testing.B) {
+	for b.Loop() {
+		tw := tabwriter.NewWriter(os.Stdout, 0, 0, 1, ' ', tabwriter.AlignRight)
+		fmt.Fprint(tw, "load\tversion\tgoodput\tbound\t%\twork%\tbest\tr0\tr1\tr2\tsummary\tbooking\tregion0\tregion1\tregion2\t"+
+			"wasted%\trefused%\tkept\tshare\tpaid MB/s\tmessages\tr0/s\tr1/s\tr2/s\t\n")
+		for _, sc := range scenarios() {
+			for _, v := range versions() {
+				r := measure(simulate(v, sc, seed(), longRun), sc, longRun)
+				fmt.Fprintf(tw, "%s\t%s\t%.2f\t%.2f\t%.0f\t%.0f\t%.2f\t", sc.name, v.name,
+					r.goodput, r.bound, 100*r.goodput/r.bound, 100*r.work, r.best)
+				for _, f := range slices.Concat(r.rank[:], r.service[:], r.region[:]) {
+					fmt.Fprintf(tw, "%.1f\t", 100*f)
+				}
+				fmt.Fprintf(tw, "%.2f\t%.1f\t%.2f\t%.2f\t%.1f\t%.1f\t%.2f\t%.2f\t%.2f\t\n",
+					100*r.wasted, 100*r.refused, r.kept, r.share, r.paid, r.messages, r.answers[0], r.answers[1], r.answers[2])
+				if os.Getenv("POLICY_FAILURES") != "" {
+					fmt.Fprintln(os.Stderr, sc.name, v.name, r.failures, r.counts)
+				}
+			}
+		}
+		tw.Flush()
+	}
+}
+
+func seed() uint64 {
+	n := uint64(1)
+	fmt.Sscan(os.Getenv("POLICY_SEED"), &n)
+
+	return n
+}
