Settle plain calls by their own end when the service crashes

A call that was refused at connect was reported as crashed and its digest as in flight, because the probe for the crash came before the call's own result. The call's result now comes first, and a crash leaves each running call to say whether it was sent. The fake engine answered 'cancelled' while it crashed; it now drops connections first.

--- a/internal/attendant/finish.go
+++ b/internal/attendant/finish.go
@@ -17,6 +17,7 @@
 	chunks    int64 // of a decode
 	answer    *wire.Answer
 	err       error
+	down      bool // nothing listens at the backend server's address
 }
 
 // Finished handles the end of a call to the backend server.
@@ -87,6 +88,9 @@
 		return
 	}
 	status, reason := statusOf(err)
+	if a.crashed {
+		status, reason = wire.Status_STATUS_CRASHED, "the backend server crashed"
+	}
 	k.finish(now, a, endedReply(a.id, status, 0, reason), status.String())
 	if k.s.plain {
 		k.release(now, a)
--- a/internal/attendant/keeper.go
+++ b/internal/attendant/keeper.go
@@ -51,6 +51,7 @@
 	link                                 link
 	alone                                bool
 	sent                                 bool          // work was handed to the backend server
+	crashed                              bool          // the service crashed while the plain call ran
 	call                                 *wire.Call    // dispatch that is held or runs
 	chunks                               []*wire.Reply // of the answer so far
 	step                                 *wire.Reply   // Granted, Prefilled or Imported, for repeats
--- a/internal/attendant/lifecycle.go
+++ b/internal/attendant/lifecycle.go
@@ -102,9 +102,12 @@
 		k.refuse(a.link, a.id, reasonCrashed, retryDown)
 		k.forget(now, a)
 		k.decide(now, k.queue.Withdraw(now, a.id))
+	case k.s.plain:
+		// Only the end of the call tells whether the service has seen it.
+		a.crashed = true
+		k.do(action{kind: actDrop, id: a.id})
 	case a.stage == stageCancelling:
 		k.do(action{kind: actDrop, id: a.id})
-		k.confirm(a)
 		k.gone(now, a)
 	default:
 		k.do(action{kind: actDrop, id: a.id})
--- a/internal/attendant/worker.go
+++ b/internal/attendant/worker.go
@@ -76,15 +76,24 @@
 		defer cancel()
 		o := a.carryOut(ctx, life, act)
 		close(op.done)
-		a.mu.Lock()
-		defer a.mu.Unlock()
-		if a.operations[act.id] == op {
-			delete(a.operations, act.id)
+		a.finished(op, act.id, o)
+		if o.down {
+			// A call that was not sent is settled first: it has no part in the
+			// crash.
+			a.down()
 		}
-		a.perform(a.keeper.Finished(a.deps.Timer.Now(), act.id, o))
 	})
 }
 
+func (a *Attendant) finished(op *operation, id string, o outcome) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.operations[id] == op {
+		delete(a.operations, id)
+	}
+	a.perform(a.keeper.Finished(a.deps.Timer.Now(), id, o))
+}
+
 // stopOperation ends the running call first, so that the cancellation cannot
 // overtake it, and then repeats the cancellation until the engine confirms it
 // or has crashed.
@@ -181,11 +190,13 @@
 	}
 	out, err := a.backend.Run(ctx, call)
 	if err != nil {
-		if isBroken(err) && !a.backend.Probe(context.WithoutCancel(ctx)) {
+		o := outcome{err: err}
+		o.down = isBroken(err) && !a.backend.Probe(context.WithoutCancel(ctx))
+		if o.down && !unsent(err) {
 			a.down()
 		}
 
-		return outcome{err: err}
+		return o
 	}
 	answer := &wire.Answer{Id: act.id, Status: out.Status, Body: out.Body}
 	for _, f := range out.Fields {
--- a/internal/blamer/blamer.go
+++ b/internal/blamer/blamer.go
@@ -80,14 +80,15 @@
 		delete(b.running, digest)
 	}
 	if r := b.records[digest]; r != nil && alone {
-		r.cleared = true
+		r.crashes, r.cleared = 0, true
 	}
 }
 
-// Crash records a crash and returns the digests to report: the one that ran
-// alone, or those that were in flight at the most crashes, if more than one.
-// Several digests that merely ran together at one crash are not reported but
-// become suspects.
+// Crash records a crash and returns the digests to report, those that were in
+// flight at the most crashes so far: after a first crash all, later the repeated
+// ones. Control blocks a digest at its second report. Every digest that was in
+// flight becomes a suspect, so that a second crash finds it alone and does not
+// count against its neighbours.
 func (b *Blamer) Crash(now time.Time) []string {
 	b.prune(now)
 	var digests []string
@@ -96,7 +97,7 @@
 	}
 	slices.Sort(digests)
 	clear(b.running)
-	most := 2
+	most := 1
 	for _, digest := range digests {
 		r := b.records[digest]
 		if r == nil {
@@ -108,10 +109,6 @@
 		most = max(most, r.crashes)
 	}
 	b.trim()
-	if len(digests) == 1 {
-		return digests
-	}
-
 	return slices.DeleteFunc(digests, func(d string) bool {
 		r := b.records[d]
 
--- /dev/null
+++ b/internal/fencer/fencer_test.go
@@ -0,0 +1,70 @@
+package fencer_test
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/damasklever/damasklever/internal/fencer"
+)
+
+// Guards against an order that runs with an old token, twice, or before the
+// current token was read.
+func TestBegin(t *testing.T) {
+	done := fencer.Result{State: "done"}
+	tests := map[string]struct {
+		prepare func(f *fencer.Fencer)
+		id      string
+		token   uint64
+		want    fencer.Verdict
+	}{
+		"before the token was read": {func(*fencer.Fencer) {}, "a", 9, fencer.Verdict{Kind: fencer.Unread}},
+		"current":                   {func(f *fencer.Fencer) { f.Learn(5) }, "a", 5, fencer.Verdict{Kind: fencer.Run}},
+		"newer":                     {func(f *fencer.Fencer) { f.Learn(5) }, "a", 6, fencer.Verdict{Kind: fencer.Run}},
+		"stale":                     {func(f *fencer.Fencer) { f.Learn(5) }, "a", 4, fencer.Verdict{Kind: fencer.Stale}},
+		"an older view after a newer one": {func(f *fencer.Fencer) {
+			f.Learn(5)
+			f.Learn(3)
+		}, "a", 4, fencer.Verdict{Kind: fencer.Stale}},
+		"after a newer order": {func(f *fencer.Fencer) {
+			f.Learn(5)
+			f.Begin("b", 7)
+		}, "a", 6, fencer.Verdict{Kind: fencer.Stale}},
+		"running": {func(f *fencer.Fencer) {
+			f.Learn(5)
+			f.Begin("a", 5)
+		}, "a", 5, fencer.Verdict{Kind: fencer.Busy}},
+		"ended, token stale by now": {func(f *fencer.Fencer) {
+			f.Learn(5)
+			f.Begin("a", 5)
+			f.Finish("a", done)
+			f.Finish("a", fencer.Result{State: "failed"})
+			f.Learn(8)
+		}, "a", 5, fencer.Verdict{Kind: fencer.Repeat, Result: done}},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			f := fencer.New()
+			test.prepare(f)
+			if got := f.Begin(test.id, test.token); got != test.want {
+				t.Errorf("got %+v, want %+v", got, test.want)
+			}
+		})
+	}
+}
+
+// Guards against results that grow without limit.
+func TestResultsAreBounded(t *testing.T) {
+	f := fencer.New()
+	f.Learn(1)
+	for i := range 2000 {
+		id := fmt.Sprint(i)
+		f.Begin(id, 1)
+		f.Finish(id, fencer.Result{State: "done"})
+	}
+	if got, want := f.Begin("0", 1).Kind, fencer.Run; got != want {
+		t.Errorf("oldest: got %v, want %v", got, want)
+	}
+	if got, want := f.Begin("1999", 1).Kind, fencer.Repeat; got != want {
+		t.Errorf("newest: got %v, want %v", got, want)
+	}
+}
--- a/internal/imitator/engine.go
+++ b/internal/imitator/engine.go
@@ -203,8 +203,9 @@
 	}
 
 	return func() {
-		l.cancel()
+		// A crash gives no answers, so the connections go first.
 		_ = l.server.Close()
+		l.cancel()
 	}
 }
 
