--- a/internal/evaluator/table_test.go
+++ b/internal/evaluator/table_test.go
@@ -70,7 +70,7 @@
 	service              [2]float64
 	region               [3]float64
 	answers              [3]float64 // good answers a second by rank
-	kept                 float64    // least good answers of a rank not flooding, as part of its floor or its load
+	kept                 float64    // least good answers of a rank that isn't flooding, as part of what it is due
 	wasted, refused      float64
 	paid                 float64 // MB/s
 	messages             float64 // a request
@@ -164,16 +164,17 @@
 		}
 	}
 	out.service = [2]float64{summary.value(), booking.value()}
-	out.kept = 10
+	out.kept = 1
+	above, floors := 0.0, 0.2
 	for i, r := range rankSettings {
-		if sc.rates[i] > 2 {
-			continue
-		}
-		floor := offered[i]
-		if sc.rates[0] > 2 { // the more urgent work may take all but the floors
-			floor = min(floor, full*float64(r.floor)/100)
+		// More urgent work may take all but the floors.
+		floor := float64(r.floor) / 100
+		floors -= floor
+		due := min(offered[i], max(floor*full, (1-floors)*full-above))
+		above += offered[i]
+		if sc.rates[i] < 2 {
+			out.kept = min(out.kept, out.answers[i]/due)
 		}
-		out.kept = min(out.kept, out.answers[i]/floor)
 	}
 	out.refused = refused.value()
 	out.wasted = wasted.Seconds() / max(spent.Seconds(), 1e-9)
