Ask no billed candidate that is far worse than the best

Cause: with one prefill server a region, the second of two candidates was always in another region and, being idle, often granted first; KV cache then crossed regions. Ruled out: asking one candidate only, because late binding among near servers hides a late load report.

--- a/internal/picker/picker.go
+++ b/internal/picker/picker.go
@@ -210,6 +210,10 @@
 	if n <= 0 {
 		return nil
 	}
+	// A paid candidate asked besides a near one would often grant first.
+	for n > 1 && p.scored[n-1].Paid && p.scored[n-1].Score > p.scored[0].Score+p.s.Spread.Seconds() {
+		n--
+	}
 	out := make([]Candidate, n)
 	for i, c := range p.scored[:n] {
 		c.node.sent += 1 / float64(n)
--- a/internal/picker/settings.go
+++ b/internal/picker/settings.go
@@ -14,6 +14,7 @@
 	Regions time.Duration // one-way delay between regions
 	Paid    time.Duration // wait that is accepted to avoid a prompt in billed traffic
 	Cross   time.Duration // wait that is accepted to avoid KV cache in billed traffic
+	Spread  time.Duration // candidates worse than the best by more are not asked
 	Prefill time.Duration // time of the prefill of one piece, which a cache hit saves
 	Backoff time.Duration // after the first failure, doubled for each one that follows
 	Longest time.Duration // longest back-off
@@ -29,6 +30,7 @@
 		Regions: 12 * time.Millisecond,
 		Paid:    100 * time.Millisecond,
 		Cross:   2 * time.Second,
+		Spread:  50 * time.Millisecond,
 		Prefill: 200 * time.Millisecond,
 		Backoff: 250 * time.Millisecond,
 		Longest: 30 * time.Second,
@@ -51,7 +53,7 @@
 	if s.Cache <= 0 {
 		return errors.Newf("cache: %d hashes, want at least 1", s.Cache)
 	}
-	if min(s.Centres, s.Regions, s.Paid, s.Cross, s.Prefill) < 0 {
+	if min(s.Centres, s.Regions, s.Paid, s.Cross, s.Spread, s.Prefill) < 0 {
 		return errors.New("delays: negative")
 	}
 
