Promise decode memory by the ends learned, with a margin

Cause: a promise counted on every release expected before it becomes firm, but answers use 40 to 100% of their limit, so one import in seven waited for memory, was taken for a stalled transfer and its prefill was repeated or evicted. The queue now learns the distribution of actual over expected time and promises one standard deviation less than the expected releases. Ruled out: no promises at all; it leaves memory unused during long prefills.

--- a/internal/granter/estimate.go
+++ b/internal/granter/estimate.go
@@ -1,6 +1,7 @@
 package granter
 
 import (
+	"math"
 	"slices"
 	"time"
 )
@@ -11,65 +12,51 @@
 	units int
 }
 
-// timeline fills events with the expected releases and, if firms is set, the
-// promises that become firm, in order of time. Releases come before firm
-// promises of the same time.
-func (g *Granter) timeline(now time.Time, firms bool) {
+// timeline fills events with the expected releases in order of time.
+func (g *Granter) timeline(now time.Time) {
 	g.events = g.events[:0]
 	for _, it := range g.held {
 		end := it.end
-		if over := now.Sub(end); over >= 0 {
-			end = now.Add(time.Duration(residual * float64(it.Cost)))
+		if !g.s.Serial {
+			end = g.ends(now, it)
 		}
 		g.events = append(g.events, event{at: end, units: it.units})
-		if firms && it.state != used {
-			firm := it.firm
-			if firm.Before(now) {
-				firm = now
-			}
-			g.events = append(g.events, event{at: firm, units: -it.units})
-		}
 	}
-	slices.SortFunc(g.events, func(a, b event) int {
-		if d := a.at.Compare(b.at); d != 0 {
-			return d
-		}
-
-		return b.units - a.units
-	})
+	slices.SortFunc(g.events, func(a, b event) int { return a.at.Compare(b.at) })
 }
 
-// fits tells whether an ask can be granted now: its units must be free from
-// the time it becomes firm, without taking those of promises made before.
-func (g *Granter) fits(now time.Time, it *item) bool {
-	free := g.s.units() - g.used
-	if it.Hold == 0 && it.units > free {
-		return false
+// ends is the expected end of a grant by what similar work took lately.
+func (g *Granter) ends(now time.Time, it *item) time.Time {
+	if it.Cost <= 0 {
+		return now
 	}
-	if it.units <= g.free() {
-		return true
+	from, age := it.firm, 0.0
+	if it.state == used {
+		from, age = now, float64(now.Sub(it.firm))/float64(it.Cost)
 	}
-	g.timeline(now, true)
-	firm := now.Add(it.Hold)
-	end := firm.Add(it.Cost)
-	checked := false
-	for _, e := range g.events {
-		if !checked && e.at.After(firm) {
-			if free < it.units {
-				return false
-			}
-			checked = true
-		}
-		if e.at.After(end) {
-			break
-		}
-		free += e.units
-		if checked && e.units < 0 && free < it.units {
-			return false
+
+	return from.Add(time.Duration(g.life.rest(age) * float64(it.Cost)))
+}
+
+// fits tells whether an ask can be granted now. A grant for at once needs units
+// that are neither occupied nor promised. A promise may count on releases until
+// it becomes firm, less Settings.Caution standard deviations.
+func (g *Granter) fits(now time.Time, it *item) bool {
+	free := float64(g.s.units())
+	var variance float64
+	for _, h := range g.held {
+		units := float64(h.units)
+		free -= units
+		if it.Hold == 0 || h.state != used || h.Cost <= 0 {
+			continue
 		}
+		cost := float64(h.Cost)
+		p := g.life.ends(float64(now.Sub(h.firm))/cost, float64(it.Hold)/cost)
+		free += p * units
+		variance += p * (1 - p) * units * units
 	}
 
-	return checked || free >= it.units
+	return float64(it.units) <= free-g.s.Caution*math.Sqrt(variance)
 }
 
 // wait estimates how long an ask waits until it can be dispatched: behind the
@@ -127,7 +114,7 @@
 	if !g.s.Serial && units <= free {
 		return 0
 	}
-	g.timeline(now, false)
+	g.timeline(now)
 	var last time.Duration
 	for _, e := range g.events {
 		last = e.at.Sub(now)
@@ -141,7 +128,7 @@
 	}
 	var rest float64
 	for _, it := range g.held {
-		rest += max(it.end.Sub(now).Seconds(), 0) * float64(it.units)
+		rest += max(g.ends(now, it).Sub(now).Seconds(), 0) * float64(it.units)
 	}
 
 	return max(last, time.Duration(rest/g.s.rate()*float64(time.Second))+queued)
--- a/internal/granter/granter.go
+++ b/internal/granter/granter.go
@@ -78,8 +78,9 @@
 	gone     memory
 	draining bool
 	used     int // units occupied
+	life     lifetime
 	out      []Decision
-	events   []event // scratch space of fits and until
+	events   []event // scratch space of until
 }
 
 // New returns a granter with everything free. It returns the error of
@@ -164,8 +165,12 @@
 // dispatch of it is discarded.
 func (g *Granter) Withdraw(now time.Time, id string) []Decision {
 	g.gone.add(now, id, g.s)
+	if it := g.items[id]; it != nil {
+		g.drop(now, it)
+		g.serve(now)
+	}
 
-	return g.Release(now, id)
+	return g.take()
 }
 
 // Withdrawn tells whether id was withdrawn and is still remembered.
@@ -179,6 +184,9 @@
 // Release frees the units of id after its work has ended.
 func (g *Granter) Release(now time.Time, id string) []Decision {
 	if it := g.items[id]; it != nil {
+		if it.state == used && it.Cost > 0 {
+			g.life.add(float64(now.Sub(it.firm)) / float64(it.Cost))
+		}
 		g.drop(now, it)
 		g.serve(now)
 	}
--- a/internal/granter/serve.go
+++ b/internal/granter/serve.go
@@ -10,10 +10,6 @@
 // not return within one report interval of the queue.
 const shortest = 100 * time.Millisecond
 
-// residual is the share of its cost that a grant is expected to run on after
-// its expected end has passed.
-const residual = 0.1
-
 func (g *Granter) resize() {
 	n := len(g.s.Ranks)
 	for len(g.classes) < n {
--- a/internal/granter/settings.go
+++ b/internal/granter/settings.go
@@ -18,6 +18,7 @@
 	Slots     int           // if positive, grants at a time; pieces are then not counted
 	Serial    bool          // the server runs its grants one after another (prefill)
 	Ranks     []Rank        // at least one
+	Caution   float64       // standard deviations by which promises stay below the expected releases
 	Lease     time.Duration // a grant ends when its entry was silent for so long
 	Queue     time.Duration // most work that may wait in one rank, as time of the server
 	Window    time.Duration // time constant of the service by which floors and shares are judged
@@ -30,6 +31,7 @@
 	return Settings{
 		Total:     total,
 		Ranks:     []Rank{{Share: 50}, {Floor: 15, Share: 50}, {Floor: 5, Share: 50}},
+		Caution:   1,
 		Lease:     3 * time.Second,
 		Queue:     30 * time.Second,
 		Window:    10 * time.Second,
@@ -62,6 +64,9 @@
 	if floors > 100 {
 		return errors.Newf("floors: sum of %d%%, want at most 100", floors)
 	}
+	if s.Caution < 0 {
+		return errors.Newf("caution: %g, want 0 or more", s.Caution)
+	}
 	for name, d := range map[string]time.Duration{
 		"lease": s.Lease, "queue": s.Queue, "window": s.Window, "retention": s.Retention,
 	} {
