Never refuse a promise that fits into free units

Cause: the margin for uncertain releases was also taken from units that are free now, so an ask with Hold could wait beside free memory.

--- a/internal/granter/estimate.go
+++ b/internal/granter/estimate.go
@@ -43,7 +43,7 @@
 // it becomes firm, less Settings.Caution standard deviations.
 func (g *Granter) fits(now time.Time, it *item) bool {
 	free := float64(g.s.units())
-	var variance float64
+	var released, variance float64
 	for _, h := range g.held {
 		units := float64(h.units)
 		free -= units
@@ -52,11 +52,11 @@
 		}
 		cost := float64(h.Cost)
 		p := g.life.ends(float64(now.Sub(h.firm))/cost, float64(it.Hold)/cost)
-		free += p * units
+		released += p * units
 		variance += p * (1 - p) * units * units
 	}
 
-	return float64(it.units) <= free-g.s.Caution*math.Sqrt(variance)
+	return float64(it.units) <= free+max(released-g.s.Caution*math.Sqrt(variance), 0)
 }
 
 // wait estimates how long an ask waits until it can be dispatched: behind the
