Allow a caller a burst of three mean requests beyond its share

Cause: in a rank with few requests one long prompt put its caller over the share, and its next request was refused although nobody was crowded out.

--- a/internal/admitter/service.go
+++ b/internal/admitter/service.go
@@ -153,19 +153,26 @@
 // usage is what the callers of one rank have had.
 type usage struct {
 	callers map[string]*meter
-	all     meter
+	all     meter // work
+	count   meter // requests
 	running int
 	debt    float64 // error of the refused fraction, carried to the next decision
 }
 
+// burst is how many mean requests a caller may have beyond its share. Without
+// it, a rank with few requests refuses a caller after a single long prompt.
+const burst = 3
+
 // over tells whether a caller has had more than its share of the rank.
 func (u *usage) over(now time.Time, caller string, share int, window time.Duration) bool {
 	m := u.callers[caller]
 	if m == nil {
 		return false
 	}
+	all := u.all.read(now, window)
+	spare := burst * all / max(u.count.read(now, window), 1)
 
-	return m.read(now, window) > float64(share)/100*u.all.read(now, window)
+	return m.read(now, window) > float64(share)/100*all+spare
 }
 
 // refuse turns an estimate around the target into a fraction that rises from
@@ -195,6 +202,7 @@
 	}
 	m.add(now, work, window)
 	u.all.add(now, work, window)
+	u.count.add(now, 1, window)
 	u.running++
 }
 
