--- a/internal/dispatcher/action.go
+++ b/internal/dispatcher/action.go
@@ -19,6 +19,9 @@
 	Pieces int64
 	Cost   time.Duration // expected time on the server
 	Hold   time.Duration // until the grant becomes firm
+	// Alone asks the agent to run the request by itself, because a server
+	// crashed while it ran.
+	Alone bool
 }
 
 // Withdraw ends an attempt. It must reach the agent even if the exchange about
--- a/internal/dispatcher/track.go
+++ b/internal/dispatcher/track.go
@@ -103,7 +103,7 @@
 }
 
 func (m *Machine) askFor(t *track, a *attempt) Ask {
-	ask := Ask{ID: a.id, Server: a.server, Phase: t.phase, Due: m.due(), Cost: m.req.Stream}
+	ask := Ask{ID: a.id, Server: a.server, Phase: t.phase, Due: m.due(), Cost: m.req.Stream, Alone: m.crashes > 0}
 	switch t.phase {
 	case wire.Phase_PHASE_DECODE:
 		ask.Pieces = m.req.Pieces
