Add the replicated state machine

Scanning all objects for each subscriber was ruled out.

Fencing tokens come from one counter, since a counter per server restarts when a server is deleted. A release that comes before its claim, and a claim of an entry reported absent, are remembered for a short time; otherwise the key would stay running. A crash explained by a blocked digest no longer counts against the others.

--- /dev/null
+++ b/internal/registrar/command.go
@@ -0,0 +1,182 @@
+package registrar
+
+import (
+	"fmt"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/damasklever/damasklever/internal/wire"
+)
+
+const (
+	// Results of changes are kept long enough for an operator who resends after
+	// an outage; at 6,800 changes a day the number covers two days.
+	changeWindow  = 48 * time.Hour
+	changeResults = 16_384
+	// Processes resend within seconds. Their commands have effects that are safe
+	// to repeat, so a short window is enough.
+	otherWindow  = 10 * time.Minute
+	otherResults = 65_536
+	// maxNameBytes keeps names usable in logs and tables.
+	maxNameBytes = 256
+)
+
+func answer(outcome wire.Outcome, format string, args []any) *wire.Result {
+	// Not errors.Newf: it records a stack, and this runs for every claim.
+	return &wire.Result{Outcome: outcome, Text: fmt.Errorf(format, args...).Error()}
+}
+
+func done(format string, args ...any) *wire.Result {
+	return answer(wire.Outcome_OUTCOME_DONE, format, args)
+}
+
+func invalid(format string, args ...any) *wire.Result {
+	return answer(wire.Outcome_OUTCOME_INVALID, format, args)
+}
+
+func refused(format string, args ...any) *wire.Result {
+	return answer(wire.Outcome_OUTCOME_REFUSED, format, args)
+}
+
+func conflict(format string, args ...any) *wire.Result {
+	return answer(wire.Outcome_OUTCOME_CONFLICT, format, args)
+}
+
+func checkCommand(cmd *wire.Command) *wire.Result {
+	if cmd.GetId() == "" {
+		return invalid("the command has no id")
+	}
+	if cmd.GetBody() == nil {
+		return invalid("the command is empty")
+	}
+
+	return nil
+}
+
+// mark tells commands apart that carry the same id by mistake. It is built from
+// fields and not from the encoding, which may differ between versions.
+func mark(cmd *wire.Command) string {
+	switch body := cmd.GetBody().(type) {
+	case *wire.Command_Change:
+		var b strings.Builder
+		b.WriteString("change " + strconv.FormatInt(cmd.GetExpect(), 10) + " " + body.Change.GetText())
+		for _, e := range body.Change.GetEdits() {
+			b.WriteString("\n" + e.GetVerb() + " " + e.GetKind() + " " + e.GetName())
+		}
+
+		return b.String()
+	case *wire.Command_Claim:
+		return "claim " + body.Claim.GetKey() + " " + body.Claim.GetRequest()
+	case *wire.Command_Settle:
+		return "settle " + body.Settle.GetKey() + " " + body.Settle.GetStage().String()
+	case *wire.Command_Absent:
+		return "absent " + body.Absent.GetEntry() + " " + strconv.FormatUint(body.Absent.GetEpoch(), 10)
+	case *wire.Command_Blame:
+		return "blame " + body.Blame.GetCrash()
+	case *wire.Command_Register:
+		return "register " + body.Register.GetAttach().GetName() + " " + strconv.FormatBool(body.Register.GetGone())
+	case *wire.Command_Report:
+		return "report " + body.Report.GetServer() + " " + body.Report.GetOrder()
+	default:
+		return ""
+	}
+}
+
+// results keeps the results of commands, so that a resend gets the first one.
+type results struct {
+	byID    map[string]*wire.Past
+	changes queue[*wire.Past]
+	others  queue[*wire.Past]
+}
+
+func newResults() results { return results{byID: make(map[string]*wire.Past)} }
+
+// find returns the first result of a command that was applied before, or nil.
+func (s *results) find(cmd *wire.Command) *wire.Result {
+	past, ok := s.byID[cmd.GetId()]
+	if !ok || cmd.GetChange().GetDry() {
+		return nil
+	}
+	if past.GetMark() != mark(cmd) {
+		res := invalid("id %s was used for another command", cmd.GetId())
+		res.Id = cmd.GetId()
+		res.Index = past.GetResult().GetIndex()
+		res.Revision = past.GetResult().GetRevision()
+
+		return res
+	}
+
+	return copyResult(past.GetResult())
+}
+
+func (s *results) add(now time.Time, cmd *wire.Command, res *wire.Result) {
+	past := &wire.Past{
+		Result: copyResult(res), Mark: mark(cmd), Time: now.UnixMilli(), Change: cmd.GetChange() != nil,
+	}
+	s.push(past)
+}
+
+func (s *results) push(past *wire.Past) {
+	s.byID[past.GetResult().GetId()] = past
+	if past.GetChange() {
+		s.changes.push(past)
+		s.trim(&s.changes, changeResults)
+	} else {
+		s.others.push(past)
+		s.trim(&s.others, otherResults)
+	}
+}
+
+func (s *results) trim(q *queue[*wire.Past], limit int) {
+	for q.len() > limit {
+		s.forget(q)
+	}
+}
+
+func (s *results) forget(q *queue[*wire.Past]) {
+	delete(s.byID, q.pop().GetResult().GetId())
+}
+
+func (s *results) sweep(now time.Time) {
+	for s.changes.len() > 0 && s.changes.front().GetTime() <= now.Add(-changeWindow).UnixMilli() {
+		s.forget(&s.changes)
+	}
+	for s.others.len() > 0 && s.others.front().GetTime() <= now.Add(-otherWindow).UnixMilli() {
+		s.forget(&s.others)
+	}
+}
+
+// copyResult copies all but the answer, which is shared.
+func copyResult(r *wire.Result) *wire.Result {
+	return &wire.Result{
+		Id: r.GetId(), Outcome: r.GetOutcome(), Revision: r.GetRevision(), Index: r.GetIndex(),
+		Text: r.GetText(), Winner: r.GetWinner(), Stage: r.GetStage(), Fresh: r.GetFresh(),
+		Answer: r.GetAnswer(),
+	}
+}
+
+// queue is a first-in first-out list.
+type queue[T any] struct {
+	items []T
+	head  int
+}
+
+func (q *queue[T]) len() int      { return len(q.items) - q.head }
+func (q *queue[T]) front() T      { return q.items[q.head] }
+func (q *queue[T]) push(item T)   { q.items = append(q.items, item) }
+func (q *queue[T]) all() []T      { return q.items[q.head:] }
+func (q *queue[T]) compact() bool { return q.head > 64 && q.head*2 > len(q.items) }
+
+func (q *queue[T]) pop() T {
+	var zero T
+	item := q.items[q.head]
+	q.items[q.head] = zero
+	q.head++
+	if q.compact() {
+		q.items = append([]T(nil), q.items[q.head:]...)
+		q.head = 0
+	}
+
+	return item
+}
--- /dev/null
+++ b/internal/registrar/crash.go
@@ -0,0 +1,146 @@
+package registrar
+
+import (
+	"math"
+	"slices"
+	"time"
+
+	"github.com/damasklever/damasklever/internal/parser"
+	"github.com/damasklever/damasklever/internal/wire"
+)
+
+const (
+	// blockAfter is the number of crashes after which a digest is blocked. One
+	// crash blames nobody: the digest may only have run at the same time.
+	blockAfter = 2
+	// crashWindow is how long a crash counts against its digests.
+	crashWindow = time.Hour
+	maxCrashes  = 4_096
+	// defaultBlock is how long a digest stays blocked.
+	defaultBlock = time.Hour
+	maxBlock     = 30 * 24 * time.Hour
+)
+
+// crashes counts crashes of servers by the digests that may have caused them.
+type crashes struct {
+	byID  map[string]*wire.Crash
+	order queue[*wire.Crash]
+	// suspects lists the crashes that a digest may have caused.
+	suspects map[string][]*wire.Crash
+}
+
+func newCrashes() crashes {
+	return crashes{byID: make(map[string]*wire.Crash), suspects: make(map[string][]*wire.Crash)}
+}
+
+func (c *crashes) add(crash *wire.Crash) {
+	c.byID[crash.GetId()] = crash
+	c.order.push(crash)
+	for _, d := range crash.GetDigests() {
+		c.suspects[d] = append(c.suspects[d], crash)
+	}
+	for c.order.len() > maxCrashes {
+		c.forget()
+	}
+}
+
+func (c *crashes) forget() {
+	crash := c.order.pop()
+	c.explain(crash)
+	delete(c.byID, crash.GetId())
+}
+
+// explain takes a crash off all its suspects, but keeps its id, so that a
+// repeated report does not count.
+func (c *crashes) explain(crash *wire.Crash) {
+	for _, d := range crash.GetDigests() {
+		left := slices.DeleteFunc(c.suspects[d], func(x *wire.Crash) bool { return x == crash })
+		c.suspects[d] = left
+		if len(left) == 0 {
+			delete(c.suspects, d)
+		}
+	}
+	crash.Digests = nil
+}
+
+func (c *crashes) sweep(now time.Time) {
+	for c.order.len() > 0 && c.order.front().GetTime() <= now.Add(-crashWindow).UnixMilli() {
+		c.forget()
+	}
+}
+
+// blame counts a crash. A digest that reaches the limit is blocked, and every
+// crash that it was part of counts no longer against the others.
+func (r *Registrar) blame(index uint64, now time.Time, m *wire.Blame) *wire.Result {
+	if m.GetCrash() == "" {
+		return invalid("the crash has no id")
+	}
+	if m.GetHold() < 0 || m.GetHold() > int64(maxBlock/time.Second) {
+		return invalid("a digest can be blocked for at most %s", maxBlock)
+	}
+	if r.crashes.byID[m.GetCrash()] != nil {
+		return done("the crash was counted before")
+	}
+	digests := slices.Clone(m.GetDigests())
+	slices.Sort(digests)
+	digests = slices.DeleteFunc(slices.Compact(digests), func(d string) bool { return d == "" })
+	crash := &wire.Crash{Id: m.GetCrash(), Time: now.UnixMilli(), Digests: digests}
+	r.crashes.add(crash)
+	var blocked []string
+	for _, d := range digests {
+		if len(r.crashes.suspects[d]) >= blockAfter || r.blockOf(d) != nil {
+			blocked = append(blocked, d)
+		}
+	}
+	for _, d := range blocked {
+		r.blockSuspect(index, now, d, m)
+	}
+	for _, d := range blocked {
+		for _, c := range slices.Clone(r.crashes.suspects[d]) {
+			r.crashes.explain(c)
+		}
+	}
+
+	return done("%d digests are blocked by this crash", len(blocked))
+}
+
+func (r *Registrar) blockSuspect(index uint64, now time.Time, digest string, m *wire.Blame) {
+	hold := defaultBlock
+	if m.GetHold() > 0 {
+		hold = time.Duration(m.GetHold()) * time.Second
+	}
+	b := &wire.Block{
+		Digest: digest, Until: now.Add(hold).UnixMilli(), Reason: "crashed server " + m.GetServer(),
+		Crashes: int32(len(r.crashes.suspects[digest])),
+	}
+	if old := r.blockOf(digest); old != nil {
+		b.Until = max(b.GetUntil(), old.GetUntil())
+		b.Crashes = old.GetCrashes() + 1
+	}
+	r.put(index, key{parser.Digest, digest}, b)
+}
+
+func (r *Registrar) blockOf(digest string) *wire.Block {
+	b, _ := r.objects.get(key{parser.Digest, digest}).(*wire.Block)
+
+	return b
+}
+
+// sweepBlocks removes the blocks that ended.
+func (r *Registrar) sweepBlocks(index uint64, now time.Time) {
+	if now.UnixMilli() < r.objects.ends {
+		return
+	}
+	r.objects.ends = math.MaxInt64
+	for _, m := range r.objects.all(parser.Digest) {
+		b, ok := m.(*wire.Block)
+		if !ok {
+			continue
+		}
+		if b.GetUntil() <= now.UnixMilli() {
+			r.drop(index, key{parser.Digest, b.GetDigest()})
+		} else {
+			r.objects.ends = min(r.objects.ends, b.GetUntil())
+		}
+	}
+}
--- /dev/null
+++ b/internal/registrar/model.go
@@ -0,0 +1,208 @@
+package registrar
+
+import (
+	"slices"
+	"strings"
+	"unicode"
+
+	"github.com/cockroachdb/errors"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/damasklever/damasklever/internal/parser"
+	"github.com/damasklever/damasklever/internal/wire"
+)
+
+// model is an object that operators configure. Defaults fills what is not set,
+// Validate checks the object alone.
+type model interface {
+	Defaults()
+	Validate() error
+}
+
+func modelOf(m object) model {
+	switch m := m.(type) {
+	case *wire.Service:
+		return service{m}
+	case *wire.Rank:
+		return rank{m}
+	case *wire.Rule:
+		return rule{m}
+	default:
+		return nil
+	}
+}
+
+// payload returns the object that an edit carries, or nil.
+func payload(e *wire.Edit) object {
+	switch {
+	case e.GetKind() == parser.Service && e.GetService() != nil:
+		return e.GetService()
+	case e.GetKind() == parser.Rank && e.GetRank() != nil:
+		return e.GetRank()
+	case e.GetKind() == parser.Rule && e.GetRule() != nil:
+		return e.GetRule()
+	default:
+		return nil
+	}
+}
+
+// set creates or changes an object. An edit without field names replaces all
+// fields.
+func (d *draft) set(e *wire.Edit) error {
+	given := payload(e)
+	if given == nil {
+		return errors.Newf("a %s cannot be set, or its fields are missing", e.GetKind())
+	}
+	if err := checkName(e.GetName()); err != nil {
+		return err
+	}
+	k := key{e.GetKind(), e.GetName()}
+	old := d.get(k)
+	switch {
+	case e.GetVerb() == parser.Create && old != nil:
+		return errors.New("it exists already")
+	case e.GetVerb() == parser.Change && old == nil:
+		return errors.New("it does not exist")
+	}
+	next := parser.New(k.kind)
+	if old != nil {
+		next = proto.CloneOf(old)
+	}
+	known := parser.Fields(k.kind)
+	fields := e.GetFields()
+	if len(fields) == 0 {
+		for _, f := range known[1:] {
+			fields = append(fields, f.Name)
+		}
+	}
+	if err := copyFields(next, given, known[1:], fields); err != nil {
+		return err
+	}
+	if err := parser.Assign(next, known[0], e.GetName()); err != nil {
+		return errors.Newf("set name: %w", err)
+	}
+	if err := complete(next, known, e.GetFields()); err != nil {
+		return err
+	}
+	d.put(k, next)
+
+	return nil
+}
+
+func copyFields(to, from object, known []parser.Field, fields []string) error {
+	for _, name := range fields {
+		if !slices.ContainsFunc(known, func(f parser.Field) bool { return f.Name == name }) {
+			return errors.Newf("unknown field %s", name)
+		}
+	}
+	if err := parser.Copy(to, from, fields); err != nil {
+		return errors.Newf("set fields: %w", err)
+	}
+
+	return nil
+}
+
+// complete fills the defaults and validates. A field that the operator set to
+// zero is not replaced by its default without a word.
+func complete(m object, known []parser.Field, set []string) error {
+	before := proto.CloneOf(m)
+	model := modelOf(m)
+	model.Defaults()
+	for _, f := range known {
+		was, is := parser.Format(before, f), parser.Format(m, f)
+		if was != is && slices.Contains(set, f.Name) {
+			return errors.Newf("%s must not be %q", f.Name, was)
+		}
+	}
+
+	return model.Validate()
+}
+
+// checkName accepts what logs and tables can show.
+func checkName(name string) error {
+	if name == "" || len(name) > maxNameBytes {
+		return errors.Newf("a name has 1 to %d bytes", maxNameBytes)
+	}
+	bad := func(c rune) bool { return unicode.IsSpace(c) || !unicode.IsPrint(c) }
+	if strings.ContainsFunc(name, bad) {
+		return errors.New("a name has no spaces or control characters")
+	}
+
+	return nil
+}
+
+// check validates the references between all objects.
+func (d *draft) check() error {
+	if !d.config {
+		return nil
+	}
+	if err := d.checkRanks(); err != nil {
+		return err
+	}
+	if err := d.checkModels(); err != nil {
+		return err
+	}
+
+	return d.checkRules()
+}
+
+func (d *draft) checkRules() error {
+	users := make(map[key][]string)
+	var missing []key
+	for _, m := range d.all(parser.Rule) {
+		x, _ := m.(*wire.Rule)
+		for _, k := range []key{{parser.Service, x.GetService()}, {parser.Rank, x.GetRank()}} {
+			if d.get(k) != nil {
+				continue
+			}
+			if users[k] == nil {
+				missing = append(missing, k)
+			}
+			users[k] = append(users[k], x.GetName())
+		}
+	}
+	if len(missing) == 0 {
+		return nil
+	}
+	k := missing[0]
+	by := strings.Join(users[k], ", ")
+	if _, deleted := d.changed[k]; deleted {
+		return errors.Newf("%s %s is in use by rule %s; change or delete the rule first", k.kind, k.name, by)
+	}
+
+	return errors.Newf("rule %s names %s %q, which does not exist", by, k.kind, k.name)
+}
+
+func (d *draft) checkRanks() error {
+	levels := make(map[int32]string)
+	floors := int32(0)
+	for _, m := range d.all(parser.Rank) {
+		x, _ := m.(*wire.Rank)
+		if other, taken := levels[x.GetLevel()]; taken {
+			return errors.Newf("ranks %s and %s have the same level %d", other, x.GetName(), x.GetLevel())
+		}
+		levels[x.GetLevel()] = x.GetName()
+		floors += x.GetFloor()
+	}
+	if floors > 100 {
+		return errors.Newf("the floors of all ranks add up to %d%%, more than 100%%", floors)
+	}
+
+	return nil
+}
+
+func (d *draft) checkModels() error {
+	models := make(map[string]string)
+	for _, m := range d.all(parser.Service) {
+		x, _ := m.(*wire.Service)
+		if x.GetKind() != wire.Kind_KIND_MODEL {
+			continue
+		}
+		if other, taken := models[x.GetModel()]; taken {
+			return errors.Newf("services %s and %s have the same model %s", other, x.GetName(), x.GetModel())
+		}
+		models[x.GetModel()] = x.GetName()
+	}
+
+	return nil
+}
--- /dev/null
+++ b/internal/registrar/snapshot.go
@@ -0,0 +1,132 @@
+package registrar
+
+import (
+	"cmp"
+	"slices"
+	"strings"
+
+	"github.com/cockroachdb/errors"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/damasklever/damasklever/internal/parser"
+	"github.com/damasklever/damasklever/internal/wire"
+)
+
+// Snapshot encodes the state; equal states give equal bytes.
+func (r *Registrar) Snapshot() ([]byte, error) {
+	s := &wire.State{
+		Applied: r.applied, Visible: r.visible, Revision: r.revision, Fence: r.fence, Floor: r.objects.floor,
+		Claims: r.claims.held(), Entries: r.claims.entities(),
+		Results: append(slices.Clone(r.results.changes.all()), r.results.others.all()...),
+		History: r.history, Crashes: r.crashes.order.all(), Orders: r.carried,
+	}
+	for e := r.objects.order.Front(); e != nil; e = e.Next() {
+		i := itemOf(e)
+		out := &wire.Item{Index: i.index, Kind: i.kind, Name: i.name, Gone: i.object == nil}
+		if i.object != nil {
+			data, err := marshal(i.object)
+			if err != nil {
+				return nil, err
+			}
+			out.Object = data
+		}
+		s.Items = append(s.Items, out)
+	}
+
+	return marshal(s)
+}
+
+func marshal(m proto.Message) ([]byte, error) {
+	data, err := proto.MarshalOptions{Deterministic: true}.Marshal(m)
+	if err != nil {
+		return nil, errors.Newf("encode snapshot: %w", err)
+	}
+
+	return data, nil
+}
+
+func (c *claims) held() []*wire.Held {
+	out := make([]*wire.Held, 0, len(c.byKey))
+	for _, h := range c.byKey {
+		out = append(out, h)
+	}
+	slices.SortFunc(out, func(a, b *wire.Held) int { return strings.Compare(a.GetKey(), b.GetKey()) })
+
+	return out
+}
+
+func (c *claims) entities() []*wire.Entity {
+	var out []*wire.Entity
+	for _, s := range c.current {
+		out = append(out, &wire.Entity{Name: s.entry, Epoch: s.epoch})
+	}
+	for s, since := range c.gone {
+		out = append(out, &wire.Entity{Name: s.entry, Epoch: s.epoch, Absent: true, Time: since})
+	}
+	slices.SortFunc(out, func(a, b *wire.Entity) int {
+		return cmp.Or(strings.Compare(a.GetName(), b.GetName()), cmp.Compare(a.GetEpoch(), b.GetEpoch()))
+	})
+
+	return out
+}
+
+// Restore replaces the state by a snapshot. On an error the state is unchanged.
+func (r *Registrar) Restore(data []byte) error {
+	var s wire.State
+	if err := proto.Unmarshal(data, &s); err != nil {
+		return errors.Newf("decode snapshot: %w", err)
+	}
+	next := New()
+	next.applied, next.visible, next.revision = s.GetApplied(), s.GetVisible(), s.GetRevision()
+	next.fence, next.objects.floor = s.GetFence(), s.GetFloor()
+	next.history, next.carried = s.GetHistory(), s.GetOrders()
+	for _, i := range s.GetItems() {
+		if err := next.objects.restore(i); err != nil {
+			return err
+		}
+	}
+	for _, h := range s.GetClaims() {
+		next.claims.set(h)
+	}
+	for _, e := range s.GetEntries() {
+		at := start{e.GetName(), e.GetEpoch()}
+		if e.GetAbsent() {
+			next.claims.gone[at] = e.GetTime()
+		} else {
+			next.claims.current[e.GetName()] = at
+		}
+	}
+	for _, p := range s.GetResults() {
+		next.results.push(p)
+	}
+	for _, c := range s.GetCrashes() {
+		next.crashes.add(c)
+	}
+	*r = *next
+
+	return nil
+}
+
+func (o *objects) restore(i *wire.Item) error {
+	k := key{i.GetKind(), i.GetName()}
+	if i.GetGone() {
+		o.unlink(k)
+		o.link(&item{key: k, index: i.GetIndex()})
+
+		return nil
+	}
+	kind := k.kind
+	if kind == parked {
+		kind = parser.Server
+	}
+	m := parser.New(kind)
+	if m == nil {
+		return errors.Newf("decode snapshot: unknown kind %q", k.kind)
+	}
+	if err := proto.Unmarshal(i.GetObject(), m); err != nil {
+		return errors.Newf("decode snapshot: %s %s: %w", k.kind, k.name, err)
+	}
+	o.put(i.GetIndex(), k, m)
+
+	return nil
+}
