Add the subscriber and the operators' client

The view is replaced as a whole and never goes back; a host whose lease is old, that is silent, or whose index stays different from the view is left after 6 s, three heartbeats. A shorter limit was ruled out: one late heartbeat would move all processes of a host at once. A heartbeat follows each new view, so that the count of processes with a change in force does not wait for the next interval.

Propose keeps the command id over all hosts. Once one host may have taken the command, later refusals by others don't make it 'not run'.

--- a/internal/registrar/query.go
+++ b/internal/registrar/query.go
@@ -1,6 +1,7 @@
 package registrar
 
 import (
+	"maps"
 	"slices"
 	"strconv"
 	"strings"
@@ -15,7 +16,7 @@
 // peers belong to the control process, which can answer them by Select. Unless
 // the query sorts, rows are by name, and commands are the newest first.
 func (r *Registrar) Query(q *wire.Query) (*wire.Table, error) {
-	columns, rows, err := r.rows(q.GetSubject())
+	columns, rows, err := r.rows(q)
 	if err != nil {
 		return nil, err
 	}
@@ -28,8 +29,8 @@
 	return table, nil
 }
 
-func (r *Registrar) rows(subject string) ([]Column, [][]string, error) {
-	switch subject {
+func (r *Registrar) rows(q *wire.Query) ([]Column, [][]string, error) {
+	switch subject := q.GetSubject(); subject {
 	case "services":
 		return r.objectRows(parser.Service)
 	case "ranks":
@@ -43,7 +44,7 @@
 	case "orders":
 		return r.orderRows()
 	case "claims":
-		return r.claimRows()
+		return r.claimRows(q)
 	case "commands":
 		return r.commandRows()
 	case "status":
@@ -105,7 +106,9 @@
 	return columns, rows, nil
 }
 
-func (r *Registrar) claimRows() ([]Column, [][]string, error) {
+// claimRows returns the claims that a query may select. The control process asks
+// often for the running ones, which are few among those kept for a day.
+func (r *Registrar) claimRows(q *wire.Query) ([]Column, [][]string, error) {
 	columns := []Column{
 		{"key", parser.Text},
 		{"stage", parser.Text},
@@ -117,7 +120,7 @@
 		{"until", parser.Time},
 	}
 	var rows [][]string
-	for _, h := range r.claims.byKey {
+	for _, h := range r.claims.candidates(q) {
 		stage := strings.ToLower(strings.TrimPrefix(h.GetStage().String(), "STAGE_"))
 		status := ""
 		if h.GetAnswer() != nil {
@@ -133,6 +136,23 @@
 	return columns, rows, nil
 }
 
+func (c *claims) candidates(q *wire.Query) []*wire.Held {
+	running := slices.ContainsFunc(q.GetFilters(), func(f *wire.Filter) bool {
+		return f.GetField() == "stage" && f.GetOp() == "=" && f.GetValue() == "running"
+	})
+	if !running {
+		return slices.Collect(maps.Values(c.byKey))
+	}
+	var out []*wire.Held
+	for _, names := range c.running {
+		for name := range names {
+			out = append(out, c.byKey[name])
+		}
+	}
+
+	return out
+}
+
 func (r *Registrar) commandRows() ([]Column, [][]string, error) {
 	columns := []Column{
 		{"revision", parser.Number},
--- a/internal/registrar/table.go
+++ b/internal/registrar/table.go
@@ -11,6 +11,12 @@
 	"github.com/damasklever/damasklever/internal/wire"
 )
 
+// Units of the columns of the control process.
+const (
+	Text   = parser.Text
+	Number = parser.Number
+)
+
 // Column is one column of a table. Its unit tells how its cells are compared.
 type Column struct {
 	Name string
--- /dev/null
+++ b/internal/subscriber/client_test.go
@@ -0,0 +1,192 @@
+package subscriber_test
+
+import (
+	"context"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/damasklever/damasklever/internal/subscriber"
+	"github.com/damasklever/damasklever/internal/timer"
+	"github.com/damasklever/damasklever/internal/wire"
+)
+
+func inBubble(f func(t *testing.T)) func(t *testing.T) {
+	return func(t *testing.T) { synctest.Test(t, f) }
+}
+
+func result(o wire.Outcome, index uint64) *wire.Result { return &wire.Result{Outcome: o, Index: index} }
+
+// Guards against a resend that is another command, and against an answer that
+// leaves the sender in doubt or falsely sure.
+func TestPropose(t *testing.T) {
+	refused := result(wire.Outcome_OUTCOME_REFUSED, 0)
+	hinted := &wire.Result{Outcome: wire.Outcome_OUTCOME_REFUSED, Leader: "c:1"}
+	tests := map[string]struct {
+		hosts   map[string]*wire.Result // nil: no answer
+		down    string
+		visited string
+		outcome wire.Outcome
+		stored  bool
+	}{
+		"first host":   {map[string]*wire.Result{"a:1": result(wire.Outcome_OUTCOME_DONE, 7)}, "", "a:1", wire.Outcome_OUTCOME_DONE, false},
+		"conflict":     {map[string]*wire.Result{"a:1": result(wire.Outcome_OUTCOME_CONFLICT, 7)}, "", "a:1", wire.Outcome_OUTCOME_CONFLICT, false},
+		"host down":    {map[string]*wire.Result{"b:1": result(wire.Outcome_OUTCOME_DONE, 7)}, "a:1", "b:1", wire.Outcome_OUTCOME_DONE, false},
+		"lost answer":  {map[string]*wire.Result{"a:1": nil, "b:1": result(wire.Outcome_OUTCOME_DONE, 7)}, "", "a:1 b:1", wire.Outcome_OUTCOME_DONE, false},
+		"leader named": {map[string]*wire.Result{"a:1": hinted, "c:1": result(wire.Outcome_OUTCOME_DONE, 7)}, "", "a:1 c:1", wire.Outcome_OUTCOME_DONE, false},
+		"refused by the state": {
+			map[string]*wire.Result{"a:1": result(wire.Outcome_OUTCOME_REFUSED, 9)},
+			"", "a:1", wire.Outcome_OUTCOME_REFUSED, false,
+		},
+		"no quorum":    {map[string]*wire.Result{"a:1": refused, "b:1": refused, "c:1": refused}, "", "", 0, false},
+		"all down":     {nil, "a:1 b:1 c:1", "", 0, false},
+		"no answer":    {map[string]*wire.Result{"a:1": nil, "b:1": refused, "c:1": refused}, "", "", 0, true},
+		"pending once": {map[string]*wire.Result{"a:1": refused, "b:1": result(wire.Outcome_OUTCOME_PENDING, 0), "c:1": refused}, "", "", 0, true},
+	}
+	for name, test := range tests {
+		t.Run(name, inBubble(func(t *testing.T) {
+			c := newControl()
+			for _, addr := range strings.Fields(test.down) {
+				c.down[addr] = true
+			}
+			var mu sync.Mutex
+			var visited []string
+			c.command = func(addr string, cmd *wire.Command) *wire.Result {
+				mu.Lock()
+				defer mu.Unlock()
+				visited = append(visited, addr)
+				if got, want := cmd.GetId(), "same"; got != want {
+					t.Errorf("id: got %q, want %q", got, want)
+				}
+
+				return test.hosts[addr]
+			}
+			sub, clock := start(t, settings(c, "a:1", "b:1", "c:1"))
+			ctx, cancel := context.WithCancel(t.Context())
+			defer cancel()
+			clock.After(time.Minute, func(time.Time) { cancel() })
+			var res *wire.Result
+			var err error
+			done := make(chan struct{})
+			go func() {
+				defer close(done)
+				res, err = sub.Propose(ctx, &wire.Command{Id: "same"})
+			}()
+			until(clock, func() bool {
+				select {
+				case <-done:
+					return true
+				default:
+					return false
+				}
+			})
+			mu.Lock()
+			defer mu.Unlock()
+			if got, want := strings.Join(visited, " "), test.visited; want != "" && got != want {
+				t.Errorf("visited: got %q, want %q", got, want)
+			}
+			if got, want := res.GetOutcome(), test.outcome; got != want {
+				t.Errorf("outcome: got %v, want %v", got, want)
+			}
+			var fault *subscriber.ProposeError
+			if errors.As(err, &fault) != (test.outcome == 0) {
+				t.Fatalf("error: got %v, want one: %v", err, test.outcome == 0)
+			}
+			if fault != nil && fault.Stored != test.stored {
+				t.Errorf("stored: got %v, want %v (%v)", fault.Stored, test.stored, fault)
+			}
+		}))
+	}
+}
+
+// Guards against a caller that is kept waiting by a connection that hangs.
+func TestProposeReturnsWithItsContext(t *testing.T) {
+	hang := make(chan struct{})
+	defer close(hang)
+	s := settings(newControl(), "a:1")
+	s.Dial = func(context.Context, string) (subscriber.Session, error) {
+		<-hang
+
+		return nil, errors.New("closed")
+	}
+	client, err := subscriber.NewClient(s, timer.NewManual(begin))
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	_, err = client.Propose(ctx, &wire.Command{Id: "x"})
+	var fault *subscriber.ProposeError
+	if !errors.As(err, &fault) || fault.Stored {
+		t.Errorf("got %v, want a ProposeError of a command that did not run", err)
+	}
+}
+
+// Guards against an answer from a host without a quorum while another host has a
+// better one, and against errors that hide as tables.
+func TestQuery(t *testing.T) {
+	stale := &wire.Table{Columns: []string{"name"}, Stale: true, Index: 3}
+	older := &wire.Table{Columns: []string{"name"}, Stale: true, Index: 2}
+	fresh := &wire.Table{Columns: []string{"name"}, Index: 9}
+	wrong := &wire.Table{Columns: []string{"error"}, Rows: []*wire.Row{{Cells: []string{"unknown field"}}}}
+	tests := map[string]struct {
+		hosts map[string]*wire.Table
+		index uint64
+		err   string
+	}{
+		"fresh after stale": {map[string]*wire.Table{"a:1": stale, "b:1": fresh}, 9, ""},
+		"newest stale":      {map[string]*wire.Table{"a:1": older, "b:1": stale}, 3, ""},
+		"not valid":         {map[string]*wire.Table{"a:1": wrong, "b:1": fresh}, 0, "unknown field"},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			c := newControl()
+			c.query = func(addr string) *wire.Table { return test.hosts[addr] }
+			client, err := subscriber.NewClient(settings(c, "a:1", "b:1"), timer.NewManual(begin))
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer client.Close()
+			table, err := client.Query(t.Context(), &wire.Query{Subject: "ranks"})
+			if got, want := table.GetIndex(), test.index; got != want {
+				t.Errorf("index: got %d, want %d", got, want)
+			}
+			if test.err != "" && (!errors.Is(err, subscriber.ErrQuery) || !strings.Contains(err.Error(), test.err)) {
+				t.Errorf("got %v, want %q", err, test.err)
+			}
+		})
+	}
+}
+
+// Guards against a command that may have been stored but is reported as not run
+// because the hosts tried after it could not be reached.
+func TestStoredIsNotForgotten(t *testing.T) { synctest.Test(t, testStoredIsNotForgotten) }
+
+func testStoredIsNotForgotten(t *testing.T) {
+	c := newControl()
+	c.down["b:1"] = true
+	c.command = func(addr string, _ *wire.Command) *wire.Result {
+		c.setDown(addr, true)
+
+		return nil
+	}
+	sub, clock := start(t, settings(c, "a:1", "b:1"))
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	clock.After(time.Minute, func(time.Time) { cancel() })
+	var err error
+	done := false
+	go func() {
+		_, err = sub.Propose(ctx, &wire.Command{Id: "x"})
+		done = true
+	}()
+	until(clock, func() bool { return done })
+	var fault *subscriber.ProposeError
+	if !errors.As(err, &fault) || !fault.Stored {
+		t.Errorf("got %v, want a ProposeError of a command that may have been stored", err)
+	}
+}
--- /dev/null
+++ b/internal/subscriber/fake_test.go
@@ -0,0 +1,212 @@
+package subscriber_test
+
+import (
+	"context"
+	"io"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/damasklever/damasklever/internal/subscriber"
+	"github.com/damasklever/damasklever/internal/timer"
+	"github.com/damasklever/damasklever/internal/wire"
+)
+
+// pipe is one end of a stream in memory.
+type pipe struct {
+	in, out chan proto.Message
+	done    chan struct{} // shared by both ends
+	once    *sync.Once
+	count   func(bytes int)
+}
+
+func newPipe(count func(int)) (a, b *pipe) {
+	x, y := make(chan proto.Message, 64), make(chan proto.Message, 64)
+	done, once := make(chan struct{}), &sync.Once{}
+
+	return &pipe{x, y, done, once, count}, &pipe{y, x, done, once, count}
+}
+
+func (p *pipe) Send(m proto.Message) error {
+	if p.count != nil {
+		p.count(proto.Size(m) + 1) // and the length
+	}
+	select {
+	case p.out <- proto.Clone(m):
+		return nil
+	case <-p.done:
+		return io.ErrClosedPipe
+	}
+}
+
+func (p *pipe) Recv(m proto.Message) error {
+	select {
+	case got := <-p.in:
+		proto.Merge(m, got)
+
+		return nil
+	case <-p.done:
+		return io.EOF
+	}
+}
+
+func (p *pipe) Close() error {
+	p.once.Do(func() { close(p.done) })
+
+	return nil
+}
+
+// control is a set of fake control hosts by address.
+type control struct {
+	mu      sync.Mutex
+	down    map[string]bool
+	dials   []string
+	command func(addr string, c *wire.Command) *wire.Result // nil result: no answer
+	query   func(addr string) *wire.Table
+	seats   chan *seat
+	count   func(int)
+}
+
+// seat is one attached subscriber, seen from its host.
+type seat struct {
+	addr   string
+	attach *wire.Attach
+	*pipe
+}
+
+func (s *seat) update(u *wire.Update) {
+	_ = s.Send(&wire.Notice{Body: &wire.Notice_Update{Update: u}})
+}
+
+func (s *seat) pulse(index uint64, lease time.Duration) {
+	_ = s.Send(&wire.Notice{Body: &wire.Notice_Pulse{Pulse: &wire.Pulse{Index: index, Lease: lease.Milliseconds()}}})
+}
+
+func newControl() *control {
+	return &control{down: make(map[string]bool), seats: make(chan *seat, 64)}
+}
+
+func (c *control) setDown(addr string, down bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.down[addr] = down
+}
+
+func (c *control) dial(_ context.Context, addr string) (subscriber.Session, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.dials = append(c.dials, addr)
+	if c.down[addr] {
+		return nil, errors.New("connection refused")
+	}
+
+	return &fakeSession{c: c, addr: addr}, nil
+}
+
+type fakeSession struct {
+	c    *control
+	addr string
+	mu   sync.Mutex
+	open []*pipe
+}
+
+func (s *fakeSession) Open(context.Context) (subscriber.Stream, error) {
+	a, b := newPipe(s.c.count)
+	s.mu.Lock()
+	s.open = append(s.open, a)
+	s.mu.Unlock()
+	go s.c.serve(s.addr, b)
+
+	return a, nil
+}
+
+func (s *fakeSession) Close() error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, p := range s.open {
+		_ = p.Close()
+	}
+
+	return nil
+}
+
+func (c *control) serve(addr string, p *pipe) {
+	var r wire.Request
+	if p.Recv(&r) != nil {
+		return
+	}
+	switch body := r.GetBody().(type) {
+	case *wire.Request_Attach:
+		c.seats <- &seat{addr: addr, attach: body.Attach, pipe: p}
+	case *wire.Request_Command:
+		if res := c.command(addr, body.Command); res != nil {
+			_ = p.Send(&wire.Response{Body: &wire.Response_Result{Result: res}})
+		}
+	case *wire.Request_Query:
+		if t := c.query(addr); t != nil {
+			_ = p.Send(&wire.Response{Body: &wire.Response_Table{Table: t}})
+		}
+	}
+}
+
+var begin = time.UnixMilli(1_700_000_000_000)
+
+func settings(c *control, hosts ...string) subscriber.Settings {
+	return subscriber.Settings{
+		Hosts: hosts, Dial: c.dial, Attach: &wire.Attach{Name: "entry-1", Role: "entry", Epoch: 3},
+		Rand: func() float64 { return 0 },
+	}
+}
+
+func start(t testing.TB, s subscriber.Settings) (*subscriber.Subscriber, *timer.Manual) {
+	t.Helper()
+	clock := timer.NewManual(begin)
+	sub, err := subscriber.New(s, clock)
+	if err != nil {
+		t.Fatal(err)
+	}
+	sub.Start()
+	t.Cleanup(func() {
+		sub.Close()
+		<-sub.Done()
+	})
+
+	return sub, clock
+}
+
+// until moves the clock in small steps until ok holds. Before each step every
+// goroutine of the test has nothing left to do; the time limit of the test run
+// ends it if ok never holds.
+func until(clock *timer.Manual, ok func() bool) {
+	for synctest.Wait(); !ok(); synctest.Wait() {
+		clock.Advance(10 * time.Millisecond)
+	}
+}
+
+// next returns the next attached subscriber while the clock runs.
+func (c *control) next(clock *timer.Manual) *seat {
+	var s *seat
+	until(clock, func() bool {
+		select {
+		case s = <-c.seats:
+			return true
+		default:
+			return false
+		}
+	})
+
+	return s
+}
+
+func rankUpdate(index uint64, full bool, names ...string) *wire.Update {
+	u := &wire.Update{Index: index, Revision: index, Full: full}
+	for i, n := range names {
+		u.Ranks = append(u.Ranks, &wire.Rank{Name: n, Level: int32(i)})
+	}
+
+	return u
+}
--- /dev/null
+++ b/internal/subscriber/subscriber_test.go
@@ -0,0 +1,337 @@
+package subscriber_test
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/damasklever/damasklever/internal/subscriber"
+	"github.com/damasklever/damasklever/internal/wire"
+)
+
+func index(sub *subscriber.Subscriber, want uint64) func() bool {
+	return func() bool { return sub.View().Index() == want }
+}
+
+// Guards against a process that stays with a host which the others have left
+// behind in a partition.
+func TestSwitchFromOldLease(t *testing.T) { synctest.Test(t, testSwitchFromOldLease) }
+
+func testSwitchFromOldLease(t *testing.T) {
+	c := newControl()
+	sub, clock := start(t, settings(c, "a:1", "b:1"))
+	one := c.next(clock)
+	one.update(rankUpdate(5, true, "master"))
+	one.pulse(5, time.Second)
+	until(clock, func() bool { return sub.Fresh(clock.Now()) })
+	one.pulse(5, 6*time.Second+time.Millisecond)
+	began := clock.Now()
+	two := c.next(clock)
+	if got, limit := clock.Now().Sub(began), time.Second; got > limit {
+		t.Errorf("switched after %s, want at most %s", got, limit)
+	}
+	if got, want := two.addr, "b:1"; got != want {
+		t.Errorf("host: got %s, want %s", got, want)
+	}
+	if got, want := two.attach.GetIndex(), uint64(5); got != want {
+		t.Errorf("index in attach: got %d, want %d", got, want)
+	}
+	if got, want := two.attach.GetEpoch(), uint64(3); got != want {
+		t.Errorf("epoch in attach: got %d, want %d", got, want)
+	}
+	if sub.View().Rank("master") == nil {
+		t.Error("got no rank during the switch, want the last view")
+	}
+	two.pulse(5, 6*time.Second)
+	synctest.Wait()
+	if sub.Host() != "b:1" {
+		t.Errorf("host at the limit: got %q, want b:1", sub.Host())
+	}
+}
+
+// Guards against a process that waits for ever on a silent connection.
+func TestSwitchFromSilentHost(t *testing.T) { synctest.Test(t, testSwitchFromSilentHost) }
+
+func testSwitchFromSilentHost(t *testing.T) {
+	c := newControl()
+	sub, clock := start(t, settings(c, "a:1", "b:1"))
+	one := c.next(clock)
+	one.pulse(0, 0)
+	until(clock, func() bool { return sub.Fresh(clock.Now()) })
+	began := clock.Now()
+	two := c.next(clock)
+	if got, want := two.addr, "b:1"; got != want {
+		t.Errorf("host: got %s, want %s", got, want)
+	}
+	if got, limit := clock.Now().Sub(began), 9*time.Second; got > limit {
+		t.Errorf("switched after %s, want at most %s", got, limit)
+	}
+	if sub.Fresh(clock.Now()) {
+		t.Error("got fresh after the silence, want not")
+	}
+}
+
+// Guards against a configuration that reverts because a host is behind.
+func TestOlderIndexIsIgnored(t *testing.T) { synctest.Test(t, testOlderIndexIsIgnored) }
+
+func testOlderIndexIsIgnored(t *testing.T) {
+	c := newControl()
+	sub, clock := start(t, settings(c, "a:1", "b:1"))
+	one := c.next(clock)
+	one.update(rankUpdate(5, true, "master"))
+	one.update(rankUpdate(4, true, "old"))
+	one.update(rankUpdate(5, true, "same"))
+	one.update(rankUpdate(6, false, "drill"))
+	until(clock, index(sub, 6))
+	if v := sub.View(); v.Rank("old") != nil || v.Rank("same") != nil || v.Rank("master") == nil {
+		t.Errorf("ranks: got %v, want master and drill", v.Ranks())
+	}
+	_ = one.Close()
+	two := c.next(clock)
+	two.update(rankUpdate(3, true, "older"))
+	two.update(rankUpdate(7, false, "last"))
+	until(clock, index(sub, 7))
+	if got, want := fmt.Sprint(len(sub.View().Ranks())), "3"; got != want {
+		t.Errorf("ranks: got %s, want %s", got, want)
+	}
+}
+
+// Guards against a process that follows a host which no longer sends updates.
+func TestSwitchWhenUpdatesStop(t *testing.T) { synctest.Test(t, testSwitchWhenUpdatesStop) }
+
+func testSwitchWhenUpdatesStop(t *testing.T) {
+	c := newControl()
+	sub, clock := start(t, settings(c, "a:1", "b:1"))
+	one := c.next(clock)
+	one.update(rankUpdate(5, true))
+	until(clock, index(sub, 5))
+	for sub.Host() == "a:1" {
+		one.pulse(6, 0)
+		synctest.Wait()
+		clock.Advance(time.Second)
+	}
+	if sub.Fresh(clock.Now()) {
+		t.Error("got fresh on a view that is behind, want not")
+	}
+	if got, want := c.next(clock).addr, "b:1"; got != want {
+		t.Errorf("host: got %s, want %s", got, want)
+	}
+}
+
+// Guards against a process that loses its view, or hammers the hosts, while none
+// can be reached.
+func TestNoHostKeepsTheView(t *testing.T) { synctest.Test(t, testNoHostKeepsTheView) }
+
+func testNoHostKeepsTheView(t *testing.T) {
+	c := newControl()
+	sub, clock := start(t, settings(c, "a:1", "b:1"))
+	one := c.next(clock)
+	one.update(rankUpdate(5, true, "master"))
+	until(clock, index(sub, 5))
+	c.setDown("a:1", true)
+	c.setDown("b:1", true)
+	_ = one.Close()
+	began := clock.Now()
+	until(clock, func() bool { return clock.Now().Sub(began) > 10*time.Minute })
+	c.mu.Lock()
+	dials := len(c.dials)
+	c.mu.Unlock()
+	// One attempt in 5 s at most, and a few during the first seconds.
+	if limit := 10*60/5 + 10; dials > limit {
+		t.Errorf("attempts in 10 minutes: got %d, want at most %d", dials, limit)
+	}
+	if sub.View().Rank("master") == nil {
+		t.Error("got no rank, want the last view")
+	}
+	c.setDown("b:1", false)
+	if got, want := c.next(clock).attach.GetIndex(), uint64(5); got != want {
+		t.Errorf("index in attach: got %d, want %d", got, want)
+	}
+}
+
+// Guards against operators who can't see what is running or how many processes
+// have a change, against a leaving process that looks alive, and against
+// heartbeats that grow with the load.
+func TestBeat(t *testing.T) { synctest.Test(t, testBeat) }
+
+func testBeat(t *testing.T) {
+	c := newControl()
+	s := settings(c, "a:1")
+	s.Flights = func() []*wire.Flight {
+		flights := make([]*wire.Flight, 1000)
+		for n := range flights {
+			flights[n] = &wire.Flight{Id: fmt.Sprint(n), Late: int64(n)}
+		}
+
+		return flights
+	}
+	s.Leaving = func() bool { return true }
+	sub, clock := start(t, s)
+	one := c.next(clock)
+	one.update(rankUpdate(5, true))
+	synctest.Wait()
+	if got, want := sub.View().Index(), uint64(5); got != want {
+		t.Fatalf("index: got %d, want %d", got, want)
+	}
+	for _, wait := range []time.Duration{0, 2 * time.Second} {
+		clock.Advance(wait)
+		beat := &wire.Beat{}
+		if err := one.Recv(beat); err != nil {
+			t.Fatal(err)
+		}
+		if got, want := beat.GetIndex(), uint64(5); got != want {
+			t.Errorf("index: got %d, want %d", got, want)
+		}
+		if got, want := beat.GetLeaving(), true; got != want {
+			t.Errorf("leaving: got %v, want %v", got, want)
+		}
+		if got, want := len(beat.GetFlights()), 100; got != want {
+			t.Errorf("flights: got %d, want %d", got, want)
+		}
+		if got, want := beat.GetFlights()[0].GetId(), "999"; got != want {
+			t.Errorf("first flight: got %s, want the latest, %s", got, want)
+		}
+	}
+}
+
+// Guards against waiters that miss a change of the view.
+func TestChangedIsClosed(t *testing.T) { synctest.Test(t, testChangedIsClosed) }
+
+func testChangedIsClosed(t *testing.T) {
+	c := newControl()
+	sub, clock := start(t, settings(c, "a:1"))
+	changed := sub.Changed()
+	c.next(clock).update(rankUpdate(1, true))
+	<-changed
+	if got, want := sub.View().Index(), uint64(1); got != want {
+		t.Errorf("index: got %d, want %d", got, want)
+	}
+}
+
+// Guards against accessors that look at the wrong part of the view.
+func TestView(t *testing.T) { synctest.Test(t, testView) }
+
+func testView(t *testing.T) {
+	c := newControl()
+	sub, clock := start(t, settings(c, "a:1"))
+	one := c.next(clock)
+	one.update(&wire.Update{
+		Index: 1, Full: true,
+		Services: []*wire.Service{{Name: "desk"}},
+		Ranks:    []*wire.Rank{{Name: "b", Level: 1}, {Name: "a", Level: 2}},
+		Rules:    []*wire.Rule{{Name: "x", Order: 2}, {Name: "z", Order: 1}, {Name: "y", Order: 1}},
+		Servers:  []*wire.Server{{Name: "s2", Service: "desk", Fence: 7}, {Name: "s1", Service: "desk"}, {Name: "o", Service: "other"}},
+		Blocks:   []*wire.Block{{Digest: "q", Until: begin.Add(time.Hour).UnixMilli()}},
+	})
+	until(clock, index(sub, 1))
+	before := sub.View()
+	one.update(&wire.Update{
+		Index: 2, Servers: []*wire.Server{{Name: "s1", Service: "other"}},
+		Removals: []*wire.Removal{{Kind: "rank", Name: "a"}, {Kind: "service", Name: "desk"}},
+	})
+	until(clock, index(sub, 2))
+	after := sub.View()
+	describe := func(v *subscriber.View) string {
+		var b strings.Builder
+		for _, x := range v.Services() {
+			b.WriteString(x.GetName() + " ")
+		}
+		for _, x := range v.Ranks() {
+			b.WriteString(x.GetName() + " ")
+		}
+		for _, x := range v.Rules() {
+			b.WriteString(x.GetName() + " ")
+		}
+		for _, x := range v.Servers("desk") {
+			b.WriteString(x.GetName() + " ")
+		}
+
+		return b.String()
+	}
+	if got, want := describe(before), "desk b a y z x s1 s2 "; got != want {
+		t.Errorf("before: got %q, want %q", got, want)
+	}
+	if got, want := describe(after), "b y z x s2 "; got != want {
+		t.Errorf("after: got %q, want %q", got, want)
+	}
+	if got, want := after.Fence("s2"), uint64(7); got != want {
+		t.Errorf("fence: got %d, want %d", got, want)
+	}
+	if got, want := after.Server("s1").GetService(), "other"; got != want {
+		t.Errorf("service of s1: got %q, want %q", got, want)
+	}
+	if after.Blocked("q", begin) == nil || after.Blocked("q", begin.Add(time.Hour)) != nil {
+		t.Error("block: want it in effect at first and not after an hour")
+	}
+}
+
+// Guards against settings that fail only later.
+func TestSettings(t *testing.T) {
+	tests := map[string]struct {
+		change func(s *subscriber.Settings)
+		want   string
+	}{
+		"hosts":   {func(s *subscriber.Settings) { s.Hosts = nil }, "at least one control host"},
+		"address": {func(s *subscriber.Settings) { s.Hosts = []string{"a"} }, "want ip:port"},
+		"stale":   {func(s *subscriber.Settings) { s.Stale = time.Second }, "longer than beat"},
+		"waits":   {func(s *subscriber.Settings) { s.MinWait = time.Minute }, "maxwait"},
+		"attach":  {func(s *subscriber.Settings) { s.Attach = nil }, "name and the role"},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			s := settings(newControl(), "a:1")
+			test.change(&s)
+			_, err := subscriber.New(s, nil)
+			if err == nil || !strings.Contains(err.Error(), test.want) {
+				t.Errorf("got %v, want %q in it", err, test.want)
+			}
+		})
+	}
+}
+
+// BenchmarkRest reports the bytes of messages that a process and its control host
+// exchange in a second without a change, without the 12 bytes that the session
+// adds to each. An idle agent, and an entry with the most
+// requests in flight that it reports.
+func BenchmarkRest(b *testing.B) {
+	for name, flights := range map[string]int{"agent": 0, "entry": 100} {
+		b.Run(name, func(b *testing.B) {
+			beat := &wire.Beat{Index: 1_000_000}
+			for n := range flights {
+				beat.Flights = append(beat.Flights, &wire.Flight{
+					Id: fmt.Sprintf("01hv-entry-07-%012d", n), Service: "session-notes", Caller: "workshop-117",
+					Rank: 2, Phase: "decode", Server: "kochi-1-runner-00042", Age: 1500, Late: -200,
+				})
+			}
+			pulse := &wire.Notice{Body: &wire.Notice_Pulse{Pulse: &wire.Pulse{Index: 1_000_000, Lease: 150}}}
+			size := 0
+			for b.Loop() {
+				size = proto.Size(beat) + proto.Size(pulse) + 2
+			}
+			b.ReportMetric(float64(size)/2, "bytes/s")
+		})
+	}
+}
+
+// BenchmarkView measures one change in a view of 12,000 servers.
+func BenchmarkView(b *testing.B) {
+	c := newControl()
+	sub, _ := start(b, settings(c, "a:1"))
+	one := <-c.seats
+	u := &wire.Update{Index: 1, Full: true}
+	for n := range 12_000 {
+		u.Servers = append(u.Servers, &wire.Server{Name: fmt.Sprintf("desk-%05d", n), Service: "desk", Region: "kochi"})
+	}
+	first := sub.Changed()
+	one.update(u)
+	<-first
+	for b.Loop() {
+		changed := sub.Changed()
+		one.update(&wire.Update{Index: sub.View().Index() + 1, Servers: u.GetServers()[7:8]})
+		<-changed
+	}
+}
