Test the entry against the agent and its stand-ins

Two faults showed. In a fleet with two decode servers a request whose transfers stalled on both paths found no decode server for its second prefill, and with one decode server there was no second prefill at all; now the server of the prefill is held responsible, which is what both paths have in common. Header values kept the white space that nbhttp leaves around them.

--- a/internal/dispatcher/machine.go
+++ b/internal/dispatcher/machine.go
@@ -326,7 +326,7 @@
 	case t == &m.decode && t.step == stepSent && e.Status == wire.Status_STATUS_EVICTED:
 		// The prefill server no longer holds the KV cache, so no other path helps.
 		delete(m.open, e.ID)
-		m.restart(t, reason)
+		m.restart(t, reason, true)
 	default:
 		m.failed(t, reason, true)
 	}
@@ -351,7 +351,7 @@
 
 		return
 	}
-	m.restart(t, reason)
+	m.restart(t, reason, false)
 }
 
 // retry takes one retry from the budget, or ends the request.
--- a/internal/dispatcher/model.go
+++ b/internal/dispatcher/model.go
@@ -91,12 +91,11 @@
 		// Another decode server imports over another path, as long as the
 		// prefill server keeps the KV cache. No work is repeated.
 		m.do(Retried{Server: t.server(), Phase: t.phase, Reason: reason})
-		t.failed = append(t.failed, t.server())
 		t.reason = reason
 		m.drop(t)
 		m.advance()
 	default:
-		m.restart(t, reason)
+		m.restart(t, reason, t == &m.decode && t.step == stepSent)
 	}
 }
 
@@ -104,8 +103,9 @@
 const maxPaths = 2
 
 // restart runs a new prefill. It is allowed only before the first byte of the
-// answer, since a second answer may differ from the first.
-func (m *Machine) restart(t *track, reason string) {
+// answer, since a second answer may differ from the first. transfer says that
+// the KV cache did not arrive.
+func (m *Machine) restart(t *track, reason string, transfer bool) {
 	if m.stream.next > 0 {
 		m.giveUp(statusFailed, reason, minRetryAfter)
 
@@ -115,8 +115,15 @@
 	if !m.retry(server, t.phase, reason) {
 		return
 	}
-	t.failed = append(t.failed, server)
-	m.handle = Prefilled{}
+	if transfer {
+		// What the paths have in common is the server of the prefill. The decode
+		// servers did nothing wrong.
+		m.decode.failed = nil
+		m.prefill.failed = append(m.prefill.failed, m.prefill.server())
+	} else {
+		t.failed = append(t.failed, server)
+	}
+	m.handle, m.paths = Prefilled{}, 0
 	m.drop(&m.prefill)
 	if m.decode.step >= stepSent {
 		m.drop(&m.decode)
--- a/internal/dispatcher/model_test.go
+++ b/internal/dispatcher/model_test.go
@@ -169,6 +169,15 @@
 			g.step(g.chunk("r.7", 0))
 			g.done("r.7", 1)
 		}, want{text: "a", result: done, status: 200, prefill: 2}},
+		"no second path for a stalled transfer": {func(g *rig) {
+			g.fleet.servers[wire.Phase_PHASE_DECODE] = []string{"d1"}
+			g.step(dispatcher.Begin{}, dispatcher.Granted{ID: "r.1"}, dispatcher.Granted{ID: "r.2"},
+				dispatcher.Prefilled{ID: "r.2", Handle: "h"})
+			g.wait(time.Second)
+			g.again("r.4", "r.5")
+			g.step(g.chunk("r.4", 0))
+			g.done("r.4", 1)
+		}, want{text: "a", result: done, status: 200, prefill: 2}},
 		"KV cache evicted before the import": {func(g *rig) {
 			g.importing().end("r.1", wire.Status_STATUS_EVICTED, 0)
 			g.again("r.5", "r.7")
@@ -291,6 +300,23 @@
 	g.closed("r.5").check(t, want{result: dispatcher.MayHaveRun, status: 502, prefill: 1})
 }
 
+// Guards against a second prefill at the server whose transfers stalled, and
+// against decode servers that are held responsible for it.
+func TestStalledSource(t *testing.T) {
+	g := newRig(model())
+	g.fleet.servers[wire.Phase_PHASE_DECODE] = []string{"d1", "d2"}
+	g.importing().wait(time.Second)
+	g.step(dispatcher.Granted{ID: "r.5"})
+	g.wait(time.Second)
+	g.step(dispatcher.Granted{ID: "r.6"})
+	if got, want := find[dispatcher.Ask](g).Server, "p3"; got != want {
+		t.Errorf("second prefill: got %s asked last, want %s and not p1", got, want)
+	}
+	if got := find[dispatcher.Finish](g); got.Outcome.Result != 0 {
+		t.Errorf("got %+v, want the request to go on", got)
+	}
+}
+
 // Guards against a final answer without the time to retry, and against one that
 // invites a request to crash a third server.
 func TestRetryAfter(t *testing.T) {
--- a/internal/dispatcher/track.go
+++ b/internal/dispatcher/track.go
@@ -169,6 +169,12 @@
 
 // refuse ends a request that found no grant.
 func (m *Machine) refuse(t *track) {
+	if t == &m.decode && m.paths > 0 && m.prefill.step == stepReady {
+		// There is no second path, so a second prefill is what remains.
+		m.restart(t, t.reason, true)
+
+		return
+	}
 	status, reason := statusUnavailable, "no server can take the request"
 	if t.reason != "" {
 		reason += ": " + t.reason
--- a/internal/listener/exchange.go
+++ b/internal/listener/exchange.go
@@ -26,6 +26,12 @@
 		method: r.Method, header: r.Header, path: r.URL.EscapedPath(), query: r.URL.RawQuery,
 		old: r.ProtoMajor == 1 && r.ProtoMinor == 0, close: r.Close,
 	}
+	for _, values := range e.header {
+		for i, value := range values {
+			// The parser keeps the white space around a value.
+			values[i] = strings.TrimSpace(value)
+		}
+	}
 	if r.Body != nil {
 		body, err := io.ReadAll(r.Body)
 		if err != nil {
--- /dev/null
+++ b/internal/router/rig_test.go
@@ -0,0 +1,324 @@
+package router_test
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/phuslu/log"
+
+	"github.com/damasklever/damasklever/internal/attendant"
+	"github.com/damasklever/damasklever/internal/dispatcher"
+	"github.com/damasklever/damasklever/internal/imitator"
+	"github.com/damasklever/damasklever/internal/registrar"
+	"github.com/damasklever/damasklever/internal/router"
+	"github.com/damasklever/damasklever/internal/subscriber"
+	"github.com/damasklever/damasklever/internal/timer"
+	"github.com/damasklever/damasklever/internal/wire"
+)
+
+// patience bounds every wait of a test, far above any expected time.
+const patience = 20 * time.Second
+
+// view is a fixed configuration.
+type view struct {
+	services []*wire.Service
+	ranks    []*wire.Rank
+	rules    []*wire.Rule
+	servers  []*wire.Server
+	blocked  map[string]bool
+	index    uint64
+}
+
+func (v *view) Index() uint64                  { return v.index }
+func (v *view) Revision() uint64               { return v.index }
+func (v *view) Services() []*wire.Service      { return v.services }
+func (v *view) Ranks() []*wire.Rank            { return v.ranks }
+func (v *view) Rules() []*wire.Rule            { return v.rules }
+func (v *view) Service(n string) *wire.Service { return named(v.services, n) }
+func (v *view) Rank(n string) *wire.Rank       { return named(v.ranks, n) }
+func (v *view) Server(n string) *wire.Server   { return named(v.servers, n) }
+
+func (v *view) Servers(service string) []*wire.Server {
+	var out []*wire.Server
+	for _, s := range v.servers {
+		if s.GetService() == service {
+			out = append(out, s)
+		}
+	}
+
+	return out
+}
+
+func (v *view) Blocked(digest string, _ time.Time) *wire.Block {
+	if v.blocked["*"] || v.blocked[digest] {
+		return &wire.Block{Digest: digest}
+	}
+
+	return nil
+}
+
+func named[T interface{ GetName() string }](list []T, name string) (none T) {
+	for _, item := range list {
+		if item.GetName() == name {
+			return item
+		}
+	}
+
+	return none
+}
+
+// control is a control plane with a log of its own.
+type control struct {
+	mu      sync.Mutex
+	view    *view
+	changed chan struct{}
+	log     *registrar.Registrar
+	index   uint64
+	lost    bool // no quorum
+	settled []wire.Stage
+}
+
+func newControl() *control {
+	return &control{view: &view{}, changed: make(chan struct{}), log: registrar.New()}
+}
+
+func (c *control) Start() {}
+func (c *control) Close() {}
+
+func (c *control) View() router.View {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+
+	return c.view
+}
+
+func (c *control) Changed() <-chan struct{} {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+
+	return c.changed
+}
+
+func (c *control) Fresh(time.Time) bool { return true }
+
+func (c *control) Propose(_ context.Context, cmd *wire.Command) (*wire.Result, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.lost {
+		return nil, &subscriber.ProposeError{ID: cmd.GetId(), Cause: errors.New("no quorum")}
+	}
+	c.index++
+	if s := cmd.GetSettle(); s != nil {
+		c.settled = append(c.settled, s.GetStage())
+	}
+
+	return c.log.Apply(c.index, time.Now(), cmd), nil
+}
+
+// set changes the configuration.
+func (c *control) set(change func(v *view)) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	next := *c.view
+	change(&next)
+	next.index++
+	c.view = &next
+	close(c.changed)
+	c.changed = make(chan struct{})
+}
+
+// agentControl is the part of the control plane that agents see.
+type agentControl struct{ *control }
+
+func (c agentControl) View() attendant.View { return c.control.View() }
+
+// site is one entry with agents and stand-ins of backend servers.
+type site struct {
+	t       *testing.T
+	control *control
+	clock   *timer.Real
+	entry   *router.Router
+	engines map[string]*imitator.Engine
+	plains  map[string]*imitator.Plain
+	agents  map[string]*attendant.Attendant
+}
+
+func quiet() *log.Logger {
+	return &log.Logger{Level: log.FatalLevel, Writer: &log.IOWriter{Writer: io.Discard}}
+}
+
+// newSite starts an entry and servers of the given names: p… are prefill
+// engines, d… decode engines, s… plain services.
+func newSite(t *testing.T, servers ...string) *site {
+	t.Helper()
+	s := &site{
+		t: t, control: newControl(), clock: timer.New(), engines: make(map[string]*imitator.Engine),
+		plains: make(map[string]*imitator.Plain), agents: make(map[string]*attendant.Attendant),
+	}
+	t.Cleanup(s.clock.Close)
+	s.control.view.services = []*wire.Service{
+		{Name: "digest", Kind: wire.Kind_KIND_MODEL, Model: "m", Limit: 64},
+		{Name: "desk", Kind: wire.Kind_KIND_PLAIN, Timeout: 10_000, Body: 1000, Routes: []*wire.Route{
+			{Method: "GET", Prefix: "/seats", Idempotent: true}, {Method: "POST", Prefix: "/book"},
+		}},
+	}
+	s.control.view.ranks = []*wire.Rank{{Name: "master", Level: 0}, {Name: "drill", Level: 2}}
+	s.control.view.rules = []*wire.Rule{{Name: "r", Caller: "master-*", Rank: "master"}}
+	for _, name := range servers {
+		s.add(name)
+	}
+	s.start(dispatcher.Limits{})
+
+	return s
+}
+
+func (s *site) start(limits dispatcher.Limits) {
+	s.t.Helper()
+	var err error
+	s.entry, err = router.New(router.Settings{
+		Name: "e1", Region: "kochi", Listen: "127.0.0.1:0", Limits: limits, Drain: patience,
+	}, router.Deps{Timer: s.clock, Log: quiet(), Control: s.control})
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	if err := s.entry.Start(s.t.Context()); err != nil {
+		s.t.Fatal(err)
+	}
+	s.t.Cleanup(func() { s.entry.Close() })
+	s.control.set(func(*view) {})
+}
+
+func (s *site) add(name string) {
+	s.t.Helper()
+	phase := map[byte]string{'p': "prefill", 'd': "decode", 's': "plain"}[name[0]]
+	service, addr := "digest", ""
+	if phase == "plain" {
+		service = "desk"
+		plain := imitator.NewPlain(30 * time.Millisecond)
+		if err := plain.Start("127.0.0.1:0"); err != nil {
+			s.t.Fatal(err)
+		}
+		s.t.Cleanup(func() { plain.Close() })
+		s.plains[name], addr = plain, plain.Addr()
+	} else {
+		engine, err := imitator.NewEngine(imitator.EngineSettings{
+			Name: name, Role: phase, Pieces: 8, PrefillRate: 1e6, DecodeRate: 1000, LinkRate: 1e8,
+			Keep: patience, Restart: 30 * time.Millisecond,
+		})
+		if err != nil {
+			s.t.Fatal(err)
+		}
+		if err := engine.Start("127.0.0.1:0"); err != nil {
+			s.t.Fatal(err)
+		}
+		s.t.Cleanup(func() { engine.Close() })
+		s.engines[name], addr = engine, engine.Addr()
+	}
+	agent, err := attendant.New(attendant.Settings{
+		Name: name, Service: service, Region: "kochi", Backend: addr, Phase: phase, Pieces: 8,
+		Stall: 200 * time.Millisecond,
+	}, attendant.Deps{Timer: s.clock, Log: quiet(), Control: agentControl{s.control}})
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	if err := agent.Start(context.Background()); err != nil {
+		s.t.Fatal(err)
+	}
+	s.t.Cleanup(func() { agent.Close() })
+	s.agents[name] = agent
+	for !agent.Ready() {
+		<-time.After(time.Millisecond)
+	}
+	s.control.set(func(v *view) {
+		v.servers = append(v.servers, &wire.Server{
+			Name: name, Service: service, Phase: phase, Addr: agent.Addr(), Region: "kochi", Pieces: 8,
+		})
+	})
+}
+
+// reply is one response.
+type reply struct {
+	status  int
+	outcome string
+	header  http.Header
+	body    string
+}
+
+func (s *site) do(ctx context.Context, method, path, body string, headers ...string) (reply, error) {
+	request, err := http.NewRequestWithContext(ctx, method, "http://"+s.entry.Addr()+path, strings.NewReader(body))
+	if err != nil {
+		return reply{}, err
+	}
+	for i := 0; i+1 < len(headers); i += 2 {
+		request.Header.Set(headers[i], headers[i+1])
+	}
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return reply{}, err
+	}
+	defer response.Body.Close()
+	text, err := io.ReadAll(response.Body)
+
+	return reply{response.StatusCode, response.Header.Get("Damask-Outcome"), response.Header, string(text)}, err
+}
+
+func (s *site) call(method, path, body string, headers ...string) reply {
+	s.t.Helper()
+	ctx, cancel := context.WithTimeout(s.t.Context(), patience)
+	defer cancel()
+	r, err := s.do(ctx, method, path, body, headers...)
+	if err != nil {
+		s.t.Fatal(err)
+	}
+
+	return r
+}
+
+// text returns the answer in the body of a completion.
+func (r reply) text() string {
+	var body struct{ Choices []struct{ Text string } }
+	if json.Unmarshal([]byte(r.body), &body) != nil || len(body.Choices) == 0 {
+		return ""
+	}
+
+	return body.Choices[0].Text
+}
+
+// await polls a state that has no channel.
+func (s *site) await(what string, ok func() bool) {
+	s.t.Helper()
+	deadline := time.Now().Add(patience)
+	for !ok() {
+		if time.Now().After(deadline) {
+			s.t.Fatalf("got no %s in %s, want it; state %+v", what, patience, s.entry.Dump())
+		}
+		<-time.After(time.Millisecond)
+	}
+}
+
+// free waits until no engine holds memory and no request is in flight.
+func (s *site) free() {
+	s.t.Helper()
+	s.await("free memory", func() bool {
+		for _, e := range s.engines {
+			if c := e.Counters(); c.Held != 0 || c.Running != 0 {
+				return false
+			}
+		}
+
+		return len(s.state().Requests) == 0
+	})
+}
+
+func (s *site) state() router.State {
+	state, _ := s.entry.Dump().(router.State)
+
+	return state
+}
--- /dev/null
+++ b/internal/router/router_test.go
@@ -0,0 +1,309 @@
+package router_test
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/damasklever/damasklever/internal/imitator"
+	"github.com/damasklever/damasklever/internal/router"
+	"github.com/damasklever/damasklever/internal/wire"
+)
+
+func completion(prompt string, limit int, more string) string {
+	return fmt.Sprintf(`{"model":"m","prompt":%q,"max_tokens":%d%s}`, prompt, limit, more)
+}
+
+// Guards against a wrong or incomplete answer on the whole path, and against
+// memory that stays allocated after it.
+func TestCompletion(t *testing.T) {
+	s := newSite(t, "p1", "p2", "d1", "d2")
+	for range 3 {
+		r := s.call("POST", "/v1/completions", completion("a prompt", 20, ""))
+		if got, want := r.text(), imitator.Answer("a prompt", 20); got != want || r.outcome != "done" {
+			t.Errorf("got %d %q %q, want done and %q", r.status, r.outcome, r.body, want)
+		}
+	}
+	r := s.call("POST", "/v1/completions", completion("b", 3, `,"stream":true`))
+	if got, want := r.body, "data: [DONE]\n\n"; !strings.HasSuffix(got, want) {
+		t.Errorf("stream: got %q, want %q at the end", got, want)
+	}
+	s.free()
+}
+
+// Guards against a caller that left and whose request keeps engine memory.
+func TestCallerLeaves(t *testing.T) {
+	s := newSite(t, "p1", "d1")
+	ctx, cancel := context.WithCancel(t.Context())
+	ended := make(chan error, 1)
+	go func() {
+		_, err := s.do(ctx, "POST", "/v1/completions", completion("a", 64, `,"stream":true`))
+		ended <- err
+	}()
+	s.await("tokens", func() bool { return s.engines["d1"].Counters().Tokens > 0 })
+	cancel()
+	if err := <-ended; err == nil {
+		t.Error("got a whole answer, want it cancelled")
+	}
+	s.free()
+	if got, want := s.engines["d1"].Counters().Tokens, 64; got >= want {
+		t.Errorf("tokens: got %d, want fewer than %d", got, want)
+	}
+}
+
+// Guards against a request that fails with its decode server although another
+// one is there, and against a poison request that goes on to crash servers.
+func TestServerCrash(t *testing.T) {
+	tests := map[string]struct {
+		prompt  string
+		status  int
+		outcome string
+		most    int // crashes
+	}{
+		"poison": {"a [crash] prompt", 502, "may-have-run", 2},
+		"other":  {"a prompt", 200, "done", 0},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			s := newSite(t, "p1", "p2", "p3", "d1", "d2", "d3")
+			r := s.call("POST", "/v1/completions", completion(test.prompt, 4, ""))
+			if r.status != test.status || r.outcome != test.outcome {
+				t.Errorf("got %d %s %s, want %d %s", r.status, r.outcome, r.body, test.status, test.outcome)
+			}
+			crashes := 0
+			for _, e := range s.engines {
+				crashes += e.Counters().Crashes
+			}
+			if got, want := crashes, test.most; got != want {
+				t.Errorf("crashes: got %d, want %d", got, want)
+			}
+			s.free()
+		})
+	}
+}
+
+// Guards against a stalled transfer that ends the request although another
+// path is open.
+func TestStalledTransfer(t *testing.T) {
+	s := newSite(t, "p1", "p2", "d1", "d2")
+	s.engines["p1"].Stall(true)
+	r := s.call("POST", "/v1/completions", completion("a prompt", 4, ""))
+	if got, want := r.text(), imitator.Answer("a prompt", 4); got != want {
+		t.Errorf("got %d %q, want %q", r.status, r.body, want)
+	}
+	s.engines["p1"].Stall(false)
+	s.free()
+}
+
+// Guards against an answer cut short when the agent's connection breaks.
+func TestAgentLost(t *testing.T) {
+	s := newSite(t, "p1", "d1")
+	ended := make(chan reply, 1)
+	go func() { ended <- s.call("POST", "/v1/completions", completion("a", 64, `,"stream":true`)) }()
+	s.await("tokens", func() bool { return s.engines["d1"].Counters().Tokens > 0 })
+	s.agents["d1"].Close()
+	r := <-ended
+	if strings.Contains(r.body, "[DONE]") || !strings.Contains(r.body, `"outcome":"may-have-run"`) {
+		t.Errorf("got %q, want an error event and no [DONE]", r.body)
+	}
+	s.await("no request", func() bool { return len(s.state().Requests) == 0 })
+}
+
+// Guards against a booking that runs twice, and against a duplicate that is
+// told something else than the truth.
+func TestBooking(t *testing.T) {
+	s := newSite(t, "s1", "s2")
+	runs := func() int { return s.plains["s1"].Runs("") + s.plains["s2"].Runs("") }
+	for range 3 {
+		r := s.call("POST", "/s/desk/book/1", "seat 4", "Idempotency-Key", "k1")
+		if r.status != 200 || r.outcome != "done" {
+			t.Errorf("got %d %s %s, want 200 done", r.status, r.outcome, r.body)
+		}
+	}
+	if got, want := runs(), 1; got != want {
+		t.Errorf("runs with a key: got %d, want %d", got, want)
+	}
+	for range 2 {
+		s.call("POST", "/s/desk/book/2", "seat 5")
+	}
+	if got, want := runs(), 2; got != want {
+		t.Errorf("runs without a key: got %d, want %d", got, want)
+	}
+	tests := map[string]struct {
+		key, body, caller string
+		status            int
+	}{
+		"key of another body":   {"k1", "seat 9", "", 422},
+		"key of another caller": {"k1", "seat 9", "someone", 200},
+	}
+	for name, test := range tests {
+		r := s.call("POST", "/s/desk/book/1", test.body, "Idempotency-Key", test.key, "Damask-Caller", test.caller)
+		if got, want := r.status, test.status; got != want {
+			t.Errorf("%s: got %d %s, want %d", name, got, r.body, want)
+		}
+	}
+}
+
+// Guards against a booking whose connection broke and that is sent again, or
+// whose duplicate is told that it did not run.
+func TestBookingLost(t *testing.T) {
+	s := newSite(t, "s1", "s2")
+	for _, want := range []struct {
+		status  int
+		outcome string
+	}{{502, "may-have-run"}, {409, "not-run"}} {
+		r := s.call("POST", "/s/desk/book/1", "x", "Idempotency-Key", "k", imitator.HeaderFault, "lost")
+		if r.status != want.status || r.outcome != want.outcome {
+			t.Errorf("got %d %s %s, want %d %s", r.status, r.outcome, r.body, want.status, want.outcome)
+		}
+	}
+	if got, want := s.plains["s1"].Runs("")+s.plains["s2"].Runs(""), 1; got != want {
+		t.Errorf("runs: got %d, want %d", got, want)
+	}
+}
+
+// Guards against a booking that runs without its claim, and against an
+// idempotent call that needs one.
+func TestNoQuorum(t *testing.T) {
+	s := newSite(t, "s1")
+	s.control.lost = true
+	r := s.call("POST", "/s/desk/book/1", "x")
+	if r.status != 503 || r.outcome != "not-run" || r.header.Get("Retry-After") == "" {
+		t.Errorf("booking: got %d %s %s, want 503 not-run and Retry-After", r.status, r.outcome, r.body)
+	}
+	if got, want := s.plains["s1"].Runs(""), 0; got != want {
+		t.Errorf("runs: got %d, want %d", got, want)
+	}
+	if r := s.call("GET", "/s/desk/seats", ""); r.status != 200 {
+		t.Errorf("look-up: got %d %s, want 200", r.status, r.body)
+	}
+}
+
+// Guards against a lookup that fails with one server although another one is
+// there.
+func TestLookupIsRepeated(t *testing.T) {
+	s := newSite(t, "s1", "s2")
+	r := s.call("GET", "/s/desk/seats", "", imitator.HeaderFault, "lost")
+	if r.status != 502 || r.outcome != "may-have-run" {
+		t.Errorf("got %d %s, want 502 may-have-run", r.status, r.outcome)
+	}
+	if got, want := s.plains["s1"].Runs("")+s.plains["s2"].Runs(""), 2; got != want {
+		t.Errorf("runs: got %d, want %d", got, want)
+	}
+}
+
+// Guards against a refusal with a wrong status or outcome.
+func TestRefusals(t *testing.T) {
+	s := newSite(t, "p1", "d1", "s1")
+	tests := map[string]struct {
+		method, path, body string
+		status             int
+	}{
+		"unknown model":       {"POST", "/v1/completions", `{"model":"x","prompt":"a"}`, 404},
+		"unknown service":     {"GET", "/s/none/seats", "", 404},
+		"model as a service":  {"GET", "/s/digest/x", "", 404},
+		"unknown path":        {"GET", "/s/desk/none", "", 404},
+		"half a segment":      {"GET", "/s/desk/seatsx", "", 404},
+		"wrong method":        {"DELETE", "/s/desk/seats", "", 405},
+		"path out of the way": {"GET", "/s/desk/seats/%2e%2e/book", "", 400},
+		"body too long":       {"POST", "/s/desk/book", strings.Repeat("x", 1001), 413},
+		"prompt too long":     {"POST", "/v1/completions", completion(strings.Repeat("x", 8*8192), 1, ""), 413},
+	}
+	for name, test := range tests {
+		r := s.call(test.method, test.path, test.body)
+		if r.status != test.status || r.outcome != "not-run" || strings.Count(r.body, "\n") != 1 {
+			t.Errorf("%s: got %d %s %q, want %d not-run", name, r.status, r.outcome, r.body, test.status)
+		}
+	}
+	s.control.set(func(v *view) { v.blocked = map[string]bool{"*": true} })
+	if r := s.call("POST", "/v1/completions", completion("a", 1, "")); r.status != 403 || r.outcome != "not-run" {
+		t.Errorf("blocked: got %d %s %s, want 403 not-run", r.status, r.outcome, r.body)
+	}
+	s.control.set(func(v *view) { v.servers, v.blocked = nil, nil })
+	s.await("refusal without servers", func() bool {
+		r := s.call("POST", "/v1/completions", completion("a", 1, ""))
+
+		return r.status == 503 && r.outcome == "not-run" && r.header.Get("Retry-After") != ""
+	})
+}
+
+// Guards against a caller that gets the rank of another.
+func TestRank(t *testing.T) {
+	s := newSite(t, "p1", "d1")
+	s.engines["d1"].Stall(true)
+	tests := map[string]int{"master-anna": 0, "someone": 2}
+	for caller, want := range tests {
+		ctx, cancel := context.WithCancel(t.Context())
+		go func() { _, _ = s.do(ctx, "POST", "/v1/completions", completion("a", 64, ""), "Damask-Caller", caller) }()
+		var requests []router.RequestState
+		s.await("request", func() bool {
+			requests = s.state().Requests
+
+			return len(requests) == 1
+		})
+		if got := requests[0]; got.Rank != want || got.Caller != caller || got.Waits == "" || got.Phase == "" {
+			t.Errorf("%s: got %+v, want rank %d and what it waits for", caller, got, want)
+		}
+		cancel()
+		s.await("end", func() bool { return len(s.state().Requests) == 0 })
+	}
+	s.engines["d1"].Stall(false)
+}
+
+// Guards against a shutdown that cuts a request off or ends before it, and
+// against a second signal that changes anything.
+func TestLeave(t *testing.T) {
+	s := newSite(t, "p1", "d1")
+	ended := make(chan reply, 1)
+	go func() { ended <- s.call("POST", "/v1/completions", completion("a", 64, "")) }()
+	s.await("tokens", func() bool { return s.engines["d1"].Counters().Tokens > 0 })
+	if !s.entry.Ready() {
+		t.Error("before: got not ready, want ready")
+	}
+	s.entry.Leave()
+	s.entry.Leave()
+	if s.entry.Ready() {
+		t.Error("leaving: got ready, want not ready")
+	}
+	r := <-ended
+	if got, want := r.text(), imitator.Answer("a", 64); got != want {
+		t.Errorf("got %d %q, want %q", r.status, r.body, want)
+	}
+	select {
+	case <-s.entry.Done():
+	case <-time.After(patience):
+		t.Error("got no end, want one after the request")
+	}
+}
+
+// Guards against a prompt that goes to a server outside the rule's regions.
+func TestRegions(t *testing.T) {
+	s := newSite(t, "s1", "s2")
+	s.control.set(func(v *view) {
+		v.rules = []*wire.Rule{{Name: "r", Caller: "*", Rank: "drill", Regions: []string{"thrissur"}}}
+		far := &wire.Server{Name: "s2", Service: "desk", Phase: "plain", Addr: s.agents["s2"].Addr(), Region: "thrissur", Pieces: 8}
+		v.servers = []*wire.Server{v.servers[0], far}
+	})
+	s.await("view", func() bool { return s.call("GET", "/s/desk/seats", "").status == 200 })
+	before := s.plains["s1"].Runs("")
+	for range 10 {
+		s.call("GET", "/s/desk/seats", "")
+	}
+	if got, want := s.plains["s1"].Runs(""), before; got != want {
+		t.Errorf("calls outside the regions: got %d, want %d", got, want)
+	}
+}
+
+// Guards against settings that fail one at a time.
+func TestSettings(t *testing.T) {
+	s := router.Settings{Body: -1, Listen: "x", Control: []string{"y"}}
+	s.Defaults()
+	got := fmt.Sprint(s.Validate())
+	for _, want := range []string{"name", "region", "body", "listen", "control"} {
+		if !strings.Contains(got, want) {
+			t.Errorf("got %q, want %q in it", got, want)
+		}
+	}
+}
