Wait in a drain for responses that are still on their way

Drain ended when the last response had been handed to nbio, whose Stop then dropped what a slow caller had not read, and it closed a connection on which a request was half received. It now waits until every connection has closed by itself. Without the check for a half received request TestDrain fails.

--- a/internal/listener/listener.go
+++ b/internal/listener/listener.go
@@ -14,6 +14,7 @@
 	"net/http"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/lesismal/nbio"
@@ -54,9 +55,7 @@
 	accept   *gate
 	peers    sync.Map // *nbio.Conn to *peer
 	draining atomic.Bool
-	mu       sync.Mutex
-	active   int           // requests in flight
-	idle     chan struct{} // closed when draining and active is 0
+	active   atomic.Int64 // requests in flight
 	done     chan struct{}
 	once     sync.Once
 }
@@ -70,8 +69,7 @@
 	// nbio logs in a format of its own.
 	logging.SetLevel(logging.LevelNone)
 	l := &Listener{
-		settings: s, backend: b, timers: t,
-		idle: make(chan struct{}), done: make(chan struct{}),
+		settings: s, backend: b, timers: t, done: make(chan struct{}),
 	}
 	l.engine = nbhttp.NewEngine(nbhttp.Config{
 		Name: "listener", Network: "tcp", Addrs: []string{s.Listen}, Listen: l.listen,
@@ -107,28 +105,35 @@
 // Done is closed by Close.
 func (l *Listener) Done() <-chan struct{} { return l.done }
 
-// Drain stops accepting connections, closes idle ones and waits for the
-// requests in flight. It returns the error of ctx if that ends first.
+// drainPause is the time between checks for the end of a drain.
+const drainPause = 20 * time.Millisecond
+
+// Drain stops accepting connections, closes idle ones and waits until every
+// request under way, also one that is still being received, has its whole
+// response. It returns the error of ctx if that ends first.
 func (l *Listener) Drain(ctx context.Context) error {
 	_ = l.accept.Close()
-	l.mu.Lock()
-	first := !l.draining.Swap(true)
-	if first && l.active == 0 {
-		close(l.idle)
-	}
-	l.mu.Unlock()
-	l.peers.Range(func(_, value any) bool {
-		if p, ok := value.(*peer); ok {
-			p.closeIdle()
-		}
+	l.draining.Store(true)
+	pause := time.NewTicker(drainPause)
+	defer pause.Stop()
+	for {
+		open := false
+		l.peers.Range(func(_, value any) bool {
+			if p, ok := value.(*peer); ok {
+				open = true
+				p.closeIdle()
+			}
 
-		return true
-	})
-	select {
-	case <-l.idle:
-		return nil
-	case <-ctx.Done():
-		return errors.Newf("wait for requests in flight: %w", ctx.Err())
+			return true
+		})
+		if !open && l.active.Load() == 0 {
+			return nil
+		}
+		select {
+		case <-pause.C:
+		case <-ctx.Done():
+			return errors.Newf("wait for requests in flight: %w", ctx.Err())
+		}
 	}
 }
 
@@ -148,26 +153,6 @@
 	})
 }
 
-// begin and end count the requests in flight.
-func (l *Listener) begin() {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.active++
-}
-
-func (l *Listener) end() {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.active--
-	if l.active == 0 && l.draining.Load() {
-		select {
-		case <-l.idle:
-		default:
-			close(l.idle)
-		}
-	}
-}
-
 func (l *Listener) opened(c net.Conn) {
 	l.peers.Store(c, newPeer(l, c))
 }
--- a/internal/listener/listener_test.go
+++ b/internal/listener/listener_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"runtime"
 	"strconv"
 	"strings"
 	"sync/atomic"
@@ -195,12 +196,14 @@
 
 // Guards against responses to pipelined requests that overtake each other.
 func TestPipelinedOrder(t *testing.T) {
-	release := make(chan struct{})
+	var running, most atomic.Int64
 	b := echo()
 	b.call = func(_ context.Context, c *listener.Call) listener.Reply {
-		if c.Path == "/slow" {
-			<-release
+		most.Store(max(most.Load(), running.Add(1)))
+		for range 1000 {
+			runtime.Gosched() // a request that overtakes gets its chance
 		}
+		running.Add(-1)
 		r := done()
 		r.Answer = &wire.Stored{Status: 200, Body: []byte(c.Path)}
 
@@ -208,13 +211,20 @@
 	}
 	l, _ := start(t, b, listener.Settings{})
 	conn, reader := wireup(t, l)
-	io.WriteString(conn, post("/s/d/slow", "")+post("/s/d/fast", ""))
-	close(release)
-	for _, want := range []string{"/slow", "/fast"} {
+	paths := []string{"/1", "/2", "/3", "/4", "/5", "/6"}
+	all := ""
+	for _, path := range paths {
+		all += post("/s/d"+path, "")
+	}
+	io.WriteString(conn, all)
+	for _, want := range paths {
 		if got := receive(t, reader).body; got != want {
 			t.Errorf("got %q, want %q", got, want)
 		}
 	}
+	if got, want := most.Load(), int64(1); got != want {
+		t.Errorf("requests of one connection at a time: got %d, want %d", got, want)
+	}
 }
 
 // Guards against a stream whose failure looks like a complete answer, and
@@ -302,13 +312,21 @@
 // Guards against a shutdown that cuts a request or waits for idle connections.
 func TestDrain(t *testing.T) {
 	started, release := make(chan struct{}), make(chan struct{})
-	b := &backend{complete: func(context.Context, *listener.Completion, func(string, int64)) listener.Reply {
+	b := echo()
+	b.complete = func(context.Context, *listener.Completion, func(string, int64)) listener.Reply {
 		close(started)
 		<-release
 
 		return done()
-	}}
+	}
 	l, _ := start(t, b, listener.Settings{})
+	half, rest := wireup(t, l)
+	io.WriteString(half, "GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+	receive(t, rest)
+	first, second, _ := strings.Cut(post("/s/d/p", "x", "Expect: 100-continue"), "\r\n\r\n")
+	io.WriteString(half, first+"\r\n\r\n")
+	rest.ReadString('\n') // the headers were received
+	rest.ReadString('\n')
 	busy, reader := wireup(t, l)
 	used, idle := wireup(t, l)
 	io.WriteString(used, "GET / HTTP/1.1\r\nHost: h\r\n\r\n")
@@ -328,6 +346,10 @@
 		t.Errorf("got an end with %v before the request in flight, want none", err)
 	default:
 	}
+	io.WriteString(half, second)
+	if got, want := receive(t, rest).body, "POST /p x"; got != want {
+		t.Errorf("request received in part: got %q, want %q", got, want)
+	}
 	close(release)
 	response := receive(t, reader)
 	if got, want := response.status, 200; got != want || !response.close {
--- a/internal/listener/peer.go
+++ b/internal/listener/peer.go
@@ -27,6 +27,7 @@
 	input input // used by the poller only
 
 	dropping atomic.Bool // input is read and dropped
+	partial  atomic.Bool // a request is being received
 	faulty   atomic.Bool // input ended with a fault, so the caller may still send
 
 	mu    sync.Mutex
@@ -70,6 +71,7 @@
 	p.input.heading += len(data)
 	p.input.completed = false
 	err := parser.Parse(data)
+	p.partial.Store(!p.input.completed)
 	if f := p.input.verdict(data, err, p.l.settings.Header); f != nil {
 		p.faulty.Store(true)
 		p.dropping.Store(true)
@@ -95,7 +97,7 @@
 		p.last = true
 		p.dropping.Store(true)
 	}
-	p.l.begin()
+	p.l.active.Add(1)
 	p.queue = append(p.queue, e)
 	if len(p.queue) == 1 {
 		_ = p.conn.SetReadDeadline(time.Time{})
@@ -113,16 +115,14 @@
 
 // next ends an exchange and returns the one after it.
 func (p *peer) next(e *exchange) *exchange {
-	defer p.l.end()
+	defer p.l.active.Add(-1)
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.queue = p.queue[1:]
 	if len(p.queue) > 0 && !e.close && p.ctx.Err() == nil {
 		return p.queue[0]
 	}
-	for range p.queue {
-		p.l.end()
-	}
+	p.l.active.Add(-int64(len(p.queue)))
 	p.queue = nil
 	if e.close || p.l.draining.Load() {
 		p.last = true
@@ -135,11 +135,11 @@
 	return nil
 }
 
-// closeIdle closes the connection if no request is running.
+// closeIdle closes the connection if no request is running or being received.
 func (p *peer) closeIdle() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if len(p.queue) == 0 && !p.last {
+	if len(p.queue) == 0 && !p.last && !p.partial.Load() {
 		p.last = true
 		p.hangUp()
 	}
