Announce the end of a connection before closing it, and the outcome of a stream

While the process leaves, each response says Connection: close, so that balancers move before the drain; a connection is closed only after that was said or while it is idle. A streamed answer carries Damask-Outcome as a trailer, because it is not known when the headers go out.

--- a/internal/listener/listener.go
+++ b/internal/listener/listener.go
@@ -105,6 +105,10 @@
 // Done is closed by Close.
 func (l *Listener) Done() <-chan struct{} { return l.done }
 
+// Leave ends each connection after its next response, so that callers and
+// balancers move elsewhere. New connections are still accepted.
+func (l *Listener) Leave() { l.draining.Store(true) }
+
 // drainPause is the time between checks for the end of a drain.
 const drainPause = 20 * time.Millisecond
 
--- a/internal/listener/listener_test.go
+++ b/internal/listener/listener_test.go
@@ -103,10 +103,11 @@
 
 // received is one response.
 type received struct {
-	status int
-	header http.Header
-	close  bool
-	body   string
+	status  int
+	header  http.Header
+	trailer http.Header
+	close   bool
+	body    string
 }
 
 func receive(t *testing.T, r *bufio.Reader) received {
@@ -121,7 +122,7 @@
 		t.Fatal(err)
 	}
 
-	return received{response.StatusCode, response.Header, response.Close, string(body)}
+	return received{response.StatusCode, response.Header, response.Trailer, response.Close, string(body)}
 }
 
 const hello = `{"model":"m","prompt":"a b"}`
@@ -257,6 +258,9 @@
 				if got, want := response.header.Get("Content-Type"), "text/event-stream"; got != want {
 					t.Errorf("content type: got %q, want %q", got, want)
 				}
+				if got, want := response.trailer.Get("Damask-Outcome"), test.reply.Result.String(); got != want {
+					t.Errorf("outcome: got %q, want %q", got, want)
+				}
 				body := strings.ReplaceAll(response.body, "id2", "id1")
 				if !strings.HasSuffix(body, test.ends) || strings.Contains(body, "[DONE]") != test.done {
 					t.Errorf("body: got %q, want the end %q", body, test.ends)
--- a/internal/listener/peer.go
+++ b/internal/listener/peer.go
@@ -124,7 +124,7 @@
 	}
 	p.l.active.Add(-int64(len(p.queue)))
 	p.queue = nil
-	if e.close || p.l.draining.Load() {
+	if e.close {
 		p.last = true
 		p.hangUp()
 
--- a/internal/listener/request.go
+++ b/internal/listener/request.go
@@ -52,6 +52,8 @@
 	headerCaller = "Damask-Caller"
 	headerCount  = "Damask-Tokens"
 	headerKey    = "Idempotency-Key"
+
+	headerOutcome = "Damask-Outcome"
 )
 
 type message struct {
--- a/internal/listener/response.go
+++ b/internal/listener/response.go
@@ -67,7 +67,7 @@
 // head sets the headers that describe the outcome.
 func (w *writer) head(o dispatcher.Outcome, header http.Header) {
 	header.Set("Damask-Request", w.id)
-	header.Set("Damask-Outcome", o.Result.String())
+	header.Set(headerOutcome, o.Result.String())
 	if o.After > 0 {
 		header.Set("Retry-After", strconv.FormatInt(seconds(o.After), 10))
 	}
--- a/internal/listener/stream.go
+++ b/internal/listener/stream.go
@@ -72,7 +72,7 @@
 		s.w.end(r.Outcome)
 	case !done:
 		s.send(append([]byte("event: error\ndata: "), append(s.w.failure(r.Outcome), '\n')...))
-		s.close()
+		s.close(r.Outcome)
 	case !s.c.Stream:
 		header := http.Header{"Content-Type": {"application/json"}}
 		s.w.head(r.Outcome, header)
@@ -86,7 +86,7 @@
 			s.send(data(encode(a)))
 		}
 		s.send([]byte("data: [DONE]\n\n"))
-		s.close()
+		s.close(r.Outcome)
 	}
 }
 
@@ -160,6 +160,7 @@
 			s.w.e.close = true
 		} else {
 			header.Set("Transfer-Encoding", "chunked")
+			header.Set("Trailer", headerOutcome)
 		}
 		out = *s.w.start(http.StatusOK, header)
 	}
@@ -171,12 +172,14 @@
 	_, _ = s.w.p.Write(out.Bytes())
 }
 
-func (s *stream) close() {
+// close ends the chunks. The outcome follows as a trailer, since it isn't known
+// when the headers are sent.
+func (s *stream) close(o dispatcher.Outcome) {
 	if s.w.e.old {
 		return
 	}
 	var out bytes.Buffer
 	_ = httputil.NewChunkedWriter(&out).Close()
-	_, _ = io.WriteString(&out, "\r\n")
+	_, _ = io.WriteString(&out, headerOutcome+": "+o.Result.String()+"\r\n\r\n")
 	_, _ = s.w.p.Write(out.Bytes())
 }
--- a/internal/router/request.go
+++ b/internal/router/request.go
@@ -30,6 +30,10 @@
 	defaultTimeout = 2 * time.Minute
 	// transferTokenTime is added to the limit of a transfer for each token.
 	transferTokenTime = 20 * time.Microsecond
+	// A prefill that takes longer than these together counts as failed. Batches
+	// and other prompts slow an engine down, a hang lasts much longer.
+	prefillSlack  = 2 * time.Second
+	prefillFactor = 4
 	// lingerSlack is how much longer than its call a claim waits for the end.
 	lingerSlack = 2 * time.Second
 	// minStart is the least time for a grant, so that a prompt whose prefill
@@ -101,7 +105,7 @@
 func (r *Router) planModel(now time.Time, v View, c *listener.Completion) (*plan, *refusal) {
 	service := modelService(v, c.Model)
 	if service == nil {
-		return nil, refuse(http.StatusNotFound, "unknown model "+c.Model)
+		return nil, refuse(http.StatusNotFound, "unknown model "+short(c.Model))
 	}
 	if limit := service.GetBody(); limit > 0 && int64(len(c.Prompt)) > limit {
 		return nil, refuse(http.StatusRequestEntityTooLarge, "the prompt is over the limit of the service")
@@ -123,6 +127,9 @@
 		Tokens: tokens, Limit: c.Limit, Pieces: pieces(tokens + c.Limit), Work: work,
 		Stream: time.Duration(c.Limit) * r.settings.Token, Limits: r.settings.Limits,
 	}
+	if p.request.Limits.Prefill == 0 {
+		p.request.Limits.Prefill = prefillSlack + prefillFactor*work
+	}
 	if p.request.Limits.Transfer == 0 {
 		p.request.Limits.Transfer = dispatcher.DefaultLimits().Transfer + time.Duration(tokens)*transferTokenTime
 	}
@@ -138,6 +145,17 @@
 	return p, nil
 }
 
+// maxName bounds a caller's words in a reason or a log line.
+const maxName = 100
+
+func short(name string) string {
+	if len(name) <= maxName {
+		return name
+	}
+
+	return strings.ToValidUTF8(name[:maxName], "") + "..."
+}
+
 func (r *Router) outputLimit(s *wire.Service, asked int64) int64 {
 	switch limit := s.GetLimit(); {
 	case asked == 0 && limit == 0:
@@ -222,7 +240,7 @@
 func (r *Router) planCall(now time.Time, v View, c *listener.Call) (*plan, *refusal) {
 	service := v.Service(c.Service)
 	if service.GetKind() != wire.Kind_KIND_PLAIN {
-		return nil, refuse(http.StatusNotFound, "unknown service "+c.Service)
+		return nil, refuse(http.StatusNotFound, "unknown service "+short(c.Service))
 	}
 	route, no := findRoute(service, c.Method, c.Path)
 	if no != nil {
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -118,6 +118,9 @@
 func (r *Router) Leave() {
 	r.left.Do(func() {
 		r.leaving.Store(true)
+		if r.listener != nil {
+			r.listener.Leave()
+		}
 		r.log.Info().Dur("linger", r.settings.Linger).Msg("leaving")
 		r.timers.After(r.settings.Linger, func(time.Time) { go r.drain() })
 	})
