--- /dev/null
+++ b/internal/configurer/configurer_test.go
@@ -0,0 +1,89 @@
+package configurer_test
+
+import (
+	"slices"
+	"strings"
+	"testing"
+
+	"github.com/damasklever/damasklever/internal/configurer"
+)
+
+// values is a Source over a map; options without a value have their default.
+type values struct {
+	options []configurer.Option
+	set     map[string]string
+}
+
+func (v values) String(name string) string {
+	if text, ok := v.set[name]; ok {
+		return text
+	}
+	for _, o := range v.options {
+		if o.Name() == name {
+			return o.Value()
+		}
+	}
+
+	return ""
+}
+
+func flagsOf(faults configurer.Faults) []string {
+	var flags []string
+	for _, f := range faults {
+		flags = append(flags, f.Flag())
+	}
+	slices.Sort(flags)
+
+	return flags
+}
+
+// Guards against a check that stops at the first fault, and against settings
+// that are accepted although the process cannot work with them.
+func TestFaultsOfEachRole(t *testing.T) {
+	place := map[string]string{"name": "x", "region": "kochi", "centre": "kochi-1"}
+	with := func(more map[string]string) map[string]string {
+		all := map[string]string{}
+		for _, m := range []map[string]string{place, more} {
+			for k, v := range m {
+				all[k] = v
+			}
+		}
+
+		return all
+	}
+	entry := func(v configurer.Source) configurer.Faults { _, f := configurer.ReadEntry(v); return f }
+	agent := func(v configurer.Source) configurer.Faults { _, f := configurer.ReadAgent(v); return f }
+	control := func(v configurer.Source) configurer.Faults { _, f := configurer.ReadControl(v); return f }
+	tests := map[string]struct {
+		read    func(configurer.Source) configurer.Faults
+		options []configurer.Option
+		set     map[string]string
+		want    []string
+	}{
+		"entry without settings": {entry, configurer.EntryOptions(), nil, []string{"centre", "control", "name", "region"}},
+		"entry complete":         {entry, configurer.EntryOptions(), with(map[string]string{"control": "127.0.0.1:7070"}), nil},
+		"entry with host name":   {entry, configurer.EntryOptions(), with(map[string]string{"control": "localhost:7070", "linger": "5", "body": "x"}), []string{"body", "control", "linger"}},
+		"agent without settings": {agent, configurer.AgentOptions(), nil, []string{"backend", "centre", "control", "name", "phase", "pieces", "region", "service"}},
+		"agent on all addresses": {agent, configurer.AgentOptions(), with(map[string]string{
+			"control": "127.0.0.1:7070", "listen": "0.0.0.0:7080", "backend": "127.0.0.1:1", "service": "s", "phase": "plain", "pieces": "3",
+		}), []string{"advertise"}},
+		"control alone":          {control, configurer.ControlOptions(), with(map[string]string{"data": "d", "id": "1"}), nil},
+		"control not a member":   {control, configurer.ControlOptions(), with(map[string]string{"data": "d", "id": "3", "members": "1=127.0.0.1:1,2=127.0.0.1:2"}), []string{"members"}},
+		"control joins and owns": {control, configurer.ControlOptions(), with(map[string]string{"data": "d", "id": "1", "join": "true", "members": "1=127.0.0.1:1"}), []string{"members"}},
+		"control id of zero":     {control, configurer.ControlOptions(), with(map[string]string{"data": "d", "id": "0", "members": "x"}), []string{"id", "members"}},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			faults := test.read(values{test.options, test.set})
+			got := slices.Compact(flagsOf(faults))
+			if !slices.Equal(got, test.want) {
+				t.Errorf("got faults in %v, want %v: %v", got, test.want, faults)
+			}
+			for _, f := range faults {
+				if want := "(DAMASK_" + strings.ToUpper(f.Flag()) + ")"; !strings.Contains(f.String(), want) {
+					t.Errorf("got %q, want it to name %s", f, want)
+				}
+			}
+		})
+	}
+}
