Add damaskctl

Without a common id over all hosts a resend could make a change twice; a test lets the first host lose its answer and compares the ids.

Peers are named by the number in their settings and looked up, as identities are drawn.

--- /dev/null
+++ b/cmd/damaskctl/exit.go
@@ -0,0 +1,81 @@
+package main
+
+import (
+	"fmt"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/damasklever/damasklever/internal/parser"
+	"github.com/damasklever/damasklever/internal/subscriber"
+	"github.com/damasklever/damasklever/internal/wire"
+)
+
+// Exit statuses, documented in the help of the program.
+const (
+	exitDone = iota
+	exitFailed
+	exitUsage
+	exitConflict
+	exitRefused
+	exitPending
+)
+
+// exitError is an error with an exit status.
+type exitError struct {
+	status int
+	err    error
+}
+
+// Error implements error.
+func (e *exitError) Error() string { return e.err.Error() }
+
+// Unwrap returns the cause.
+func (e *exitError) Unwrap() error { return e.err }
+
+func usage(format string, args ...any) error {
+	return &exitError{exitUsage, errors.Newf(format, args...)}
+}
+
+// exit prints an error and returns the exit status.
+func (p *program) exit(err error) int {
+	if err == nil {
+		return exitDone
+	}
+	_, _ = fmt.Fprintf(p.err, "damaskctl: %s\n", err)
+	var known *exitError
+	if errors.As(err, &known) {
+		return known.status
+	}
+
+	return statusOf(err)
+}
+
+func statusOf(err error) int {
+	var syntax *parser.Error
+	var propose *subscriber.ProposeError
+	switch {
+	case errors.As(err, &syntax), errors.Is(err, subscriber.ErrQuery):
+		return exitUsage
+	case errors.As(err, &propose) && propose.Stored:
+		return exitPending
+	case errors.As(err, &propose) && propose.Refused != nil:
+		return exitRefused
+	default:
+		return exitFailed
+	}
+}
+
+// outcomeError returns the error of a result that is not done.
+func outcomeError(r *wire.Result) error {
+	text := errors.Newf("%s", r.GetText())
+	switch r.GetOutcome() {
+	case wire.Outcome_OUTCOME_DONE:
+		return nil
+	case wire.Outcome_OUTCOME_CONFLICT:
+		return &exitError{exitConflict, errors.Newf("conflict: %w", text)}
+	case wire.Outcome_OUTCOME_INVALID, wire.Outcome_OUTCOME_REFUSED:
+		return &exitError{exitRefused, errors.Newf("not run: %w", text)}
+	default:
+		return &exitError{exitPending, errors.Newf("pending: %w", text)}
+	}
+}
--- /dev/null
+++ b/cmd/damaskctl/fake_test.go
@@ -0,0 +1,108 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/damasklever/damasklever/internal/messenger"
+	"github.com/damasklever/damasklever/internal/registrar"
+	"github.com/damasklever/damasklever/internal/wire"
+)
+
+// control is one control host in memory: the real state without a log.
+type control struct {
+	mu       sync.Mutex
+	state    *registrar.Registrar
+	index    uint64
+	commands []*wire.Command
+	// answer replaces the host's own answer to a command if it is set.
+	answer func(cmd *wire.Command) *wire.Result
+	stale  bool
+	silent bool
+}
+
+func newControl(t interface{ Fatal(args ...any) }) (c *control, addr string, stop func()) {
+	c = &control{state: registrar.New()}
+	for _, name := range []string{"kochi-1", "kochi-2"} {
+		c.apply(&wire.Command{Id: name, Body: &wire.Command_Register{Register: &wire.Register{Attach: &wire.Attach{
+			Name: name, Role: "agent", Addr: "10.0.0.1:7000", Region: "kochi", Centre: "kochi-1",
+			Service: "notes", Phase: "decode", Pieces: 20, Epoch: 1,
+		}}}})
+	}
+	l, err := messenger.Listen("127.0.0.1:0", c.serve)
+	if err != nil {
+		t.Fatal(err)
+	}
+
+	return c, l.Addr(), func() { _ = l.Close() }
+}
+
+func (c *control) apply(cmd *wire.Command) *wire.Result {
+	c.index++
+
+	return c.state.Apply(c.index, time.Unix(1_700_000_000+int64(c.index), 0), cmd)
+}
+
+func (c *control) serve(ctx context.Context, s *messenger.Stream) {
+	var r wire.Request
+	if s.Recv(&r) != nil {
+		return
+	}
+	c.mu.Lock()
+	response := c.respond(&r)
+	c.mu.Unlock()
+	if response == nil {
+		<-ctx.Done()
+
+		return
+	}
+	_ = s.Send(response)
+}
+
+func (c *control) respond(r *wire.Request) *wire.Response {
+	if c.silent {
+		return nil
+	}
+	if q := r.GetQuery(); q != nil {
+		t, err := c.query(q)
+		if err != nil {
+			t = &wire.Table{Columns: []string{"error"}, Rows: []*wire.Row{{Cells: []string{err.Error()}}}}
+		}
+		t.Stale, t.Revision = c.stale, c.state.Revision()
+
+		return &wire.Response{Body: &wire.Response_Table{Table: t}}
+	}
+	cmd := r.GetCommand()
+	c.commands = append(c.commands, cmd)
+	var res *wire.Result
+	switch {
+	case c.answer != nil:
+		if res = c.answer(cmd); res == nil {
+			return nil
+		}
+	case cmd.GetPeering() != nil:
+		res = &wire.Result{Id: cmd.GetId(), Outcome: wire.Outcome_OUTCOME_DONE, Text: fmt.Sprint(cmd.GetPeering())}
+	default:
+		res = c.apply(cmd)
+		res.Force, res.Known = 2, 3
+	}
+
+	return &wire.Response{Body: &wire.Response_Result{Result: res}}
+}
+
+func (c *control) query(q *wire.Query) (*wire.Table, error) {
+	switch q.GetSubject() {
+	case "peers":
+		columns := []registrar.Column{{Name: "number", Unit: registrar.Number}, {Name: "addr"}, {Name: "role"}}
+
+		return registrar.Select(q, columns, [][]string{{"1", "10.0.0.1:7100", "leader"}, {"2", "10.0.0.2:7100", "follower"}})
+	case "status":
+		columns := []registrar.Column{{Name: "name"}, {Name: "role"}, {Name: "force"}}
+
+		return registrar.Select(q, columns, [][]string{{"entry-1", "entry", "yes"}, {"entry-2", "entry", "no"}, {"kochi-1", "agent", "yes"}})
+	default:
+		return c.state.Query(q)
+	}
+}
