Run the control process on one and on several hosts

The controller joins the consensus core, the recorder, the messenger and the state. Founding needs all members up once: an empty data directory cannot tell a new host from one that lost its disk, so the hosts record each other's identity first. Ruled out: a bootstrap flag, which is easily left set. Random schedules are not tested yet.

--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -5,52 +5,243 @@
 
 import (
 	"context"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/damasklever/damasklever/internal/messenger"
+	"github.com/damasklever/damasklever/internal/recorder"
+	"github.com/damasklever/damasklever/internal/replicator"
+	"github.com/damasklever/damasklever/internal/timer"
+	"github.com/damasklever/damasklever/internal/wire"
+)
+
+const (
+	// ticksPerHeartbeat is how often the core is told the time.
+	ticksPerHeartbeat = 4
+	eventBacklog      = 1024
+	// eventsPerRound bounds how many events share one sync.
+	eventsPerRound = 512
 )
 
+// ErrClosed is returned by calls on a control host that has ended.
+var ErrClosed = errors.New("control host is closed")
+
 // Controller is one control host.
 type Controller struct {
-	s    Settings
-	done chan struct{}
-}
+	s     Settings
+	own   *timer.Real // if New started it
+	rec   *recorder.Recorder
+	me    *wire.Member
+	state State
+	core  *replicator.Core
+	links *links
+	desk  *desk
 
-// Dump is the state of a control host in a form that encodes to JSON.
-type Dump struct {
-	Number  uint64
-	Leader  bool
-	Term    uint64
-	Index   uint64
-	Applied uint64
+	listener *messenger.Listener
+	ctx      context.Context //nolint:containedctx // it is the lifetime of the process
+	cancel   context.CancelFunc
+	work     sync.WaitGroup
+	events   chan func()
+	inbox    chan *wire.Peer
+	ticks    chan time.Time
+	looped   chan struct{} // closed when the event loop has ended
+	done     chan struct{}
+	once     sync.Once
+	founded  atomic.Bool
+	recorded atomic.Pointer[wire.Members] // nil until the cluster is founded
+	mu       sync.Mutex
+	err      error
+
+	// The event loop owns what follows, together with core and state.
+	applied   uint64
+	clock     int64 // Unix milliseconds of the last command
+	waiting   map[uint64]*waiter
+	reading   map[uint64]chan replicator.Read
+	reads     uint64
+	arrivals  map[uint64][]chan struct{} // waits until an index is applied
+	compacted uint64
+	updates   map[uint64]*wire.Update // by the index asked for, since the last change
+	members   *wire.Members
+	counting  bool                  // a census is running
+	missing   map[entryID]time.Time // entry processes with claims that are not attached, since when
 }
 
-// New checks the settings and opens the data directory.
+// New checks the settings and opens the data directory. The caller ends the
+// returned controller by Close even if it never starts it.
 func New(s Settings) (*Controller, error) {
 	s.Defaults()
 	if err := s.Validate(); err != nil {
 		return nil, errors.Newf("new controller: %w", err)
 	}
+	rec, err := recorder.Open(s.Folder, recorder.Settings{Number: s.Number, Files: s.Files})
+	if err != nil {
+		return nil, errors.Newf("new controller: %w", err)
+	}
+	c := &Controller{
+		s: s, rec: rec, state: s.State,
+		events: make(chan func(), eventBacklog), inbox: make(chan *wire.Peer, eventBacklog),
+		ticks: make(chan time.Time, 1), looped: make(chan struct{}), done: make(chan struct{}),
+		waiting: make(map[uint64]*waiter), reading: make(map[uint64]chan replicator.Read),
+		arrivals: make(map[uint64][]chan struct{}), updates: make(map[uint64]*wire.Update),
+		desk: newDesk(),
+	}
+	st, err := rec.Load()
+	if err != nil {
+		return nil, errors.Newf("new controller: %w", errors.CombineErrors(err, rec.Close()))
+	}
+	if st.Snapshot != nil {
+		c.recorded.Store(st.Snapshot.GetMembers())
+	}
+	c.ctx, c.cancel = context.WithCancel(context.Background())
+	if c.s.Timer == nil {
+		c.own = timer.New()
+		c.s.Timer = c.own
+	}
+	if c.s.Seed == 0 {
+		c.s.Seed = rand.Uint64() //nolint:gosec // election timeouts need no secrecy
+	}
+
+	return c, nil
+}
+
+// Start listens and takes part in the log. It does not wait for a leader. Until
+// the members of a new cluster have met, it serves nothing but their greetings.
+// The process lives until Close, not until the context ends.
+//
+//nolint:contextcheck // see above
+func (c *Controller) Start(_ context.Context) error {
+	c.me = &wire.Member{Id: c.rec.Identity().GetId(), Number: c.s.Number}
+	l, err := messenger.Listen(c.s.Listen, c.serve)
+	if err != nil {
+		return errors.Newf("start controller: %w", err)
+	}
+	c.mu.Lock()
+	c.listener = l
+	c.me.Addr = c.address(l.Addr())
+	c.links = newLinks(c.ctx, c.me, &c.work)
+	c.mu.Unlock()
+	c.work.Add(1)
+	go func() {
+		defer c.work.Done()
+		defer close(c.looped)
+		if err := c.takePart(); err != nil {
+			c.fail(err)
+		}
+	}()
+
+	return nil
+}
+
+// address returns the address under which the others know this host.
+func (c *Controller) address(listen string) string {
+	for _, m := range c.s.Members {
+		if m.GetNumber() == c.s.Number && len(c.s.Members) > 1 {
+			return m.GetAddr()
+		}
+	}
 
-	return &Controller{s: s, done: make(chan struct{})}, nil
+	return listen
 }
 
-// Start listens and takes part in the log. It does not wait for a leader.
-func (c *Controller) Start(_ context.Context) error { return nil }
+// takePart founds the cluster if need be and runs the event loop until Close.
+func (c *Controller) takePart() error {
+	if err := c.found(); err != nil {
+		return err
+	}
+	st, err := c.rec.Load()
+	if err != nil {
+		return errors.Newf("load log: %w", err)
+	}
+	c.core, err = replicator.New(replicator.Settings{
+		ID: c.me.GetId(), Election: c.s.Election, Heartbeat: c.s.Heartbeat, Seed: c.s.Seed,
+	}, replicator.State(st))
+	if err != nil {
+		return errors.Newf("start log: %w", err)
+	}
+	if err := c.restore(st.Snapshot); err != nil {
+		return err
+	}
+	c.followMembers()
+	stop := c.s.Timer.Every(c.s.Heartbeat/ticksPerHeartbeat, c.tick)
+	defer stop()
+	defer c.s.Timer.Every(censusInterval, func(time.Time) { c.post(c.startCensus) })()
+	c.tick(c.s.Timer.Now())
+	c.founded.Store(true)
+	c.s.Log.Info().Uint64("number", c.s.Number).Str("addr", c.me.GetAddr()).
+		Uint64("index", c.core.Status().Last).Msg("control started")
 
-// Addr returns the address served, "ip:port".
-func (c *Controller) Addr() string { return c.s.Listen }
+	return c.run()
+}
 
-// Ready reports whether the host knows a leader and has heard from a majority.
-func (c *Controller) Ready() bool { return false }
+// tick must not block: a tick that is not taken yet is as good as the next.
+func (c *Controller) tick(now time.Time) {
+	select {
+	case c.ticks <- now:
+	default:
+	}
+}
+
+// Addr returns the address served, "ip:port". It is empty before Start.
+func (c *Controller) Addr() string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.listener == nil {
+		return ""
+	}
+
+	return c.listener.Addr()
+}
 
 // Done is closed when the process has ended, by Close or by a fault.
 func (c *Controller) Done() <-chan struct{} { return c.done }
 
 // Err returns the fault that ended the process, or nil.
-func (c *Controller) Err() error { return nil }
+func (c *Controller) Err() error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
 
-// Dump returns the state for the operations port.
-func (c *Controller) Dump() Dump { return Dump{Number: c.s.Number} }
+	return c.err
+}
 
-// Close ends the process and waits for it.
-func (c *Controller) Close() error { close(c.done); return nil }
+// fail ends the process because of a fault that it cannot go on with.
+func (c *Controller) fail(err error) {
+	c.mu.Lock()
+	if c.err == nil {
+		c.err = err
+	}
+	c.mu.Unlock()
+	c.s.Log.Error().Err(err).Msg("control failed")
+	go func() { _ = c.Close() }()
+}
+
+// Close ends the process, closes the data directory and waits for both.
+func (c *Controller) Close() error {
+	c.once.Do(func() {
+		c.cancel()
+		c.mu.Lock()
+		l := c.listener
+		c.mu.Unlock()
+		var err error
+		if l != nil {
+			err = l.Close()
+		}
+		c.work.Wait()
+		err = errors.CombineErrors(err, c.rec.Close())
+		if c.own != nil {
+			c.own.Close()
+		}
+		c.mu.Lock()
+		if c.err == nil && err != nil {
+			c.err = errors.Newf("close controller: %w", err)
+		}
+		c.mu.Unlock()
+		close(c.done)
+	})
+	<-c.done
+
+	return c.Err()
+}
--- /dev/null
+++ b/internal/controller/founder.go
@@ -0,0 +1,122 @@
+package controller
+
+import (
+	"context"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/damasklever/damasklever/internal/wire"
+)
+
+const (
+	greetInterval = 200 * time.Millisecond
+	greetTimeout  = 2 * time.Second
+	// The first snapshot of a cluster holds its members and nothing else.
+	firstIndex = 1
+	firstTerm  = 1
+)
+
+// found writes the first snapshot of a new cluster. A new data directory cannot
+// tell whether the host is new or lost its disk, so all members have to meet
+// once and record each other's identity. A host whose disk is lost later has a
+// new identity, meets members that know its old one, and waits to be added.
+func (c *Controller) found() error {
+	st, err := c.rec.Load()
+	if err != nil {
+		return errors.Newf("load log: %w", err)
+	}
+	if st.Snapshot != nil || len(st.Entries) > 0 || len(c.s.Members) == 0 {
+		return nil
+	}
+	members, err := c.meet()
+	if err != nil || members == nil {
+		return err
+	}
+	if err := c.rec.Save(&wire.Vote{Term: firstTerm}, nil); err != nil {
+		return errors.Newf("found cluster: %w", err)
+	}
+	c.recorded.Store(members)
+	err = c.rec.Snapshot(&wire.Snapshot{Index: firstIndex, Term: firstTerm, Members: members})
+	if err != nil {
+		return errors.Newf("found cluster: %w", err)
+	}
+
+	return nil
+}
+
+// meet returns the founding members, or nil if the cluster exists already.
+func (c *Controller) meet() (*wire.Members, error) {
+	met := &wire.Members{}
+	for _, m := range c.s.Members {
+		if m.GetNumber() == c.s.Number {
+			met.Voters = append(met.Voters, c.me)
+
+			continue
+		}
+		g, err := c.greetUntil(m)
+		if err != nil {
+			return nil, err
+		}
+		if g.GetMembers() != nil {
+			c.reportPlace(g.GetMembers())
+
+			return nil, nil //nolint:nilnil // documented
+		}
+		met.Voters = append(met.Voters, &wire.Member{Id: g.GetId(), Addr: m.GetAddr(), Number: m.GetNumber()})
+	}
+
+	return met, nil
+}
+
+// greetUntil greets a member until it answers.
+func (c *Controller) greetUntil(m *wire.Member) (*wire.Greeting, error) {
+	for {
+		g, err := c.greet(c.ctx, m.GetAddr())
+		if err == nil && g.GetNumber() != m.GetNumber() {
+			return nil, errors.Newf("found cluster: host at %s has number %d, the settings say %d",
+				m.GetAddr(), g.GetNumber(), m.GetNumber())
+		}
+		if err == nil {
+			return g, nil
+		}
+		c.s.Log.Info().Uint64("number", m.GetNumber()).Str("addr", m.GetAddr()).Err(err).Msg("waiting for member")
+		if !c.pause(c.ctx, greetInterval) {
+			return nil, errors.Newf("found cluster: %w", ErrClosed)
+		}
+	}
+}
+
+// reportPlace says what a host with a new data directory is in a cluster that
+// exists.
+func (c *Controller) reportPlace(members *wire.Members) {
+	for _, m := range append(members.GetVoters(), members.GetLearners()...) {
+		if m.GetNumber() == c.s.Number && m.GetId() != c.me.GetId() {
+			c.s.Log.Error().Uint64("number", c.s.Number).Str("addr", c.me.GetAddr()).
+				Msg("data directory is new but the cluster knows this host: remove the member and add it again")
+		}
+	}
+}
+
+func (c *Controller) greet(ctx context.Context, addr string) (*wire.Greeting, error) {
+	ctx, cancel := c.within(ctx, greetTimeout)
+	defer cancel()
+	response, err := c.links.call(ctx, addr, &wire.Request{Body: &wire.Request_Greet{
+		Greet: &wire.Greet{Id: c.me.GetId(), Number: c.s.Number},
+	}})
+	if err != nil {
+		return nil, errors.Newf("greet %s: %w", addr, err)
+	}
+	if response.GetGreeting().GetId() == 0 {
+		return nil, errors.Newf("greet %s: unexpected answer", addr)
+	}
+
+	return response.GetGreeting(), nil
+}
+
+// greeting answers a host that is new or about to be added. A host whose data
+// directory names members must say so even before its log runs: otherwise a
+// host with a lost disk could found a second cluster with it.
+func (c *Controller) greeting() *wire.Greeting {
+	return &wire.Greeting{Id: c.me.GetId(), Number: c.s.Number, Members: c.recorded.Load()}
+}
--- /dev/null
+++ b/internal/controller/links.go
@@ -0,0 +1,239 @@
+package controller
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/damasklever/damasklever/internal/messenger"
+	"github.com/damasklever/damasklever/internal/wire"
+)
+
+const (
+	// linkBacklog is the number of messages that wait for one member. Messages
+	// beyond it are dropped; the core sends again.
+	linkBacklog = 1024
+	redialWait  = 100 * time.Millisecond
+)
+
+// errNotSent: the request did not reach the other host.
+var errNotSent = errors.New("not sent")
+
+// links are the connections from this host to the other control hosts.
+type links struct {
+	ctx  context.Context //nolint:containedctx // it is the lifetime of the process
+	me   *wire.Member
+	work *sync.WaitGroup
+
+	mu       sync.Mutex
+	links    map[uint64]*link  // by member
+	learned  map[uint64]string // addresses of hosts that have joined a stream here
+	sessions map[string]*messenger.Session
+}
+
+type link struct {
+	addr   string
+	queue  chan *wire.Peer
+	cancel context.CancelFunc
+}
+
+func newLinks(ctx context.Context, me *wire.Member, work *sync.WaitGroup) *links {
+	l := &links{
+		ctx: ctx, me: me, work: work, links: make(map[uint64]*link),
+		learned: make(map[uint64]string), sessions: make(map[string]*messenger.Session),
+	}
+	context.AfterFunc(ctx, l.close)
+
+	return l
+}
+
+func (l *links) close() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, s := range l.sessions {
+		_ = s.Close()
+	}
+}
+
+// follow connects to all members and ends the links to those that are gone.
+func (l *links) follow(m *wire.Members) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	keep := make(map[uint64]bool)
+	for _, x := range slices.Concat(m.GetVoters(), m.GetLearners()) {
+		keep[x.GetId()] = true
+		if x.GetId() != l.me.GetId() {
+			l.open(x.GetId(), x.GetAddr())
+		}
+	}
+	for id, k := range l.links {
+		if !keep[id] && len(keep) > 0 {
+			k.cancel()
+			delete(l.links, id)
+		}
+	}
+}
+
+// learn notes the address of a host that sends messages here. A new host gets
+// the leader's address this way, before it knows the members.
+func (l *links) learn(id uint64, addr string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if addr != "" {
+		l.learned[id] = addr
+	}
+}
+
+func (l *links) open(id uint64, addr string) *link {
+	if k := l.links[id]; k != nil && k.addr == addr {
+		return k
+	} else if k != nil {
+		k.cancel()
+	}
+	ctx, cancel := context.WithCancel(l.ctx)
+	k := &link{addr: addr, queue: make(chan *wire.Peer, linkBacklog), cancel: cancel}
+	l.links[id] = k
+	l.work.Add(1)
+	go func() {
+		defer l.work.Done()
+		l.run(ctx, k)
+	}()
+
+	return k
+}
+
+// send queues a message. It never blocks.
+func (l *links) send(m *wire.Peer) {
+	l.mu.Lock()
+	k := l.links[m.GetTo()]
+	if addr := l.learned[m.GetTo()]; k == nil && addr != "" {
+		k = l.open(m.GetTo(), addr)
+	}
+	l.mu.Unlock()
+	if k == nil {
+		return
+	}
+	select {
+	case k.queue <- m:
+	default:
+	}
+}
+
+func (l *links) run(ctx context.Context, k *link) {
+	for ctx.Err() == nil {
+		l.stream(ctx, k)
+		select {
+		case <-ctx.Done():
+		case <-time.After(redialWait):
+		}
+	}
+}
+
+// stream carries messages until the connection or ctx ends.
+func (l *links) stream(ctx context.Context, k *link) {
+	session, err := messenger.Dial(ctx, k.addr)
+	if err != nil {
+		return
+	}
+	stop := context.AfterFunc(ctx, func() { _ = session.Close() })
+	defer stop()
+	defer func() { _ = session.Close() }()
+	s, err := session.Open(ctx)
+	if err != nil {
+		return
+	}
+	join := &wire.Join{From: l.me.GetId(), Addr: l.me.GetAddr()}
+	if s.Send(&wire.Request{Body: &wire.Request_Join{Join: join}}) != nil {
+		return
+	}
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-session.Done():
+			return
+		case m := <-k.queue:
+			if s.Send(m) != nil {
+				return
+			}
+		}
+	}
+}
+
+// call sends one request to a control host and returns its response. An error
+// that is errNotSent means that the host has not seen the request.
+func (l *links) call(ctx context.Context, addr string, r *wire.Request) (*wire.Response, error) {
+	session, err := l.session(ctx, addr)
+	if err != nil {
+		return nil, errors.Mark(errors.Newf("connect: %w", err), errNotSent)
+	}
+	s, err := session.Open(ctx)
+	if err != nil {
+		l.drop(addr, session)
+
+		return nil, errors.Mark(errors.Newf("open stream: %w", err), errNotSent)
+	}
+	stop := context.AfterFunc(ctx, func() { _ = s.Close() })
+	defer stop()
+	defer func() { _ = s.Close() }()
+	if err := s.Send(r); err != nil {
+		l.drop(addr, session)
+
+		return nil, errors.Newf("send request: %w", err)
+	}
+	response := &wire.Response{}
+	if err := s.Recv(response); err != nil {
+		return nil, errors.Newf("receive response: %w", err)
+	}
+
+	return response, nil
+}
+
+func (l *links) session(ctx context.Context, addr string) (*messenger.Session, error) {
+	l.mu.Lock()
+	s := l.sessions[addr]
+	l.mu.Unlock()
+	if s != nil {
+		select {
+		case <-s.Done():
+		default:
+			return s, nil
+		}
+	}
+	s, err := messenger.Dial(ctx, addr)
+	if err != nil {
+		return nil, errors.Newf("dial: %w", err)
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.ctx.Err() != nil {
+		_ = s.Close()
+
+		return nil, ErrClosed
+	}
+	// Another call may have dialled at the same time.
+	if old := l.sessions[addr]; old != nil {
+		select {
+		case <-old.Done():
+		default:
+			_ = s.Close()
+
+			return old, nil
+		}
+	}
+	l.sessions[addr] = s
+
+	return s, nil
+}
+
+func (l *links) drop(addr string, s *messenger.Session) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.sessions[addr] == s {
+		delete(l.sessions, addr)
+	}
+	_ = s.Close()
+}
--- /dev/null
+++ b/internal/controller/server.go
@@ -0,0 +1,204 @@
+package controller
+
+import (
+	"context"
+	"fmt"
+	"math"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/damasklever/damasklever/internal/messenger"
+	"github.com/damasklever/damasklever/internal/wire"
+)
+
+const (
+	entryRole = "entry"
+	agentRole = "agent"
+	// registerInterval is the time between attempts to register a process.
+	registerInterval = 500 * time.Millisecond
+	// neverHeard is the lease in milliseconds of a host that has not heard from
+	// a majority since its start.
+	neverHeard = math.MaxInt32
+)
+
+// serve handles one stream from a process, an operator or a control host.
+func (c *Controller) serve(ctx context.Context, s *messenger.Stream) {
+	var r wire.Request
+	if s.Recv(&r) != nil {
+		return
+	}
+	switch body := r.GetBody().(type) {
+	case *wire.Request_Attach:
+		c.attach(ctx, s, body.Attach)
+	case *wire.Request_Join:
+		c.join(s, body.Join)
+	case *wire.Request_Command:
+		result := c.command(ctx, body.Command, r.GetForwarded())
+		_ = s.Send(&wire.Response{Body: &wire.Response_Result{Result: result}})
+	case *wire.Request_Query:
+		_ = s.Send(&wire.Response{Body: &wire.Response_Table{Table: c.query(ctx, body.Query)}})
+	case *wire.Request_Greet:
+		_ = s.Send(&wire.Response{Body: &wire.Response_Greeting{Greeting: c.greeting()}})
+	case *wire.Request_Census:
+		_ = s.Send(&wire.Response{Body: &wire.Response_Count{Count: c.desk.count(body.Census, c.s.Number)}})
+	}
+}
+
+// join passes the messages of another control host to the core.
+func (c *Controller) join(s *messenger.Stream, j *wire.Join) {
+	c.links.learn(j.GetFrom(), j.GetAddr())
+	for {
+		m := &wire.Peer{}
+		if s.Recv(m) != nil {
+			return
+		}
+		if !c.founded.Load() {
+			continue
+		}
+		select {
+		case c.inbox <- m:
+		case <-c.looped:
+			return
+		}
+	}
+}
+
+// attach serves a subscriber until its stream or ctx ends.
+func (c *Controller) attach(ctx context.Context, s *messenger.Stream, a *wire.Attach) {
+	if a.GetName() == "" || a.GetRole() != entryRole && a.GetRole() != agentRole {
+		c.s.Log.Warn().Str("name", a.GetName()).Str("role", a.GetRole()).Msg("attach refused")
+
+		return
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	seat := c.desk.add(a)
+	c.s.Log.Info().Str("name", a.GetName()).Str("role", a.GetRole()).Uint64("index", a.GetIndex()).Msg("attached")
+	registered := make(chan struct{})
+	go func() {
+		defer close(registered)
+		c.register(ctx, &wire.Register{Attach: a}, "register")
+	}()
+	go func() {
+		defer cancel()
+		for {
+			var b wire.Beat
+			if s.Recv(&b) != nil {
+				return
+			}
+			c.desk.beat(seat, &b)
+		}
+	}()
+	c.feed(ctx, s, a.GetIndex())
+	cancel()
+	_ = s.Close()
+	<-registered
+	leaving := c.desk.remove(seat)
+	c.s.Log.Info().Str("name", a.GetName()).Str("role", a.GetRole()).Bool("leaving", leaving).Msg("detached")
+	if leaving {
+		// The stream's context has ended.
+		bounded, cancel := c.within(context.WithoutCancel(ctx), c.s.Commit)
+		defer cancel()
+		c.register(bounded, &wire.Register{Attach: a, Gone: true}, "leave")
+	}
+}
+
+// register proposes until a control host has an answer. The same start of the
+// same process has the same command id on every host, so it is applied once.
+func (c *Controller) register(ctx context.Context, r *wire.Register, verb string) {
+	a := r.GetAttach()
+	attach := &wire.Attach{
+		Name: a.GetName(), Role: a.GetRole(), Addr: a.GetAddr(), Region: a.GetRegion(), Centre: a.GetCentre(),
+		Service: a.GetService(), Phase: a.GetPhase(), Pieces: a.GetPieces(), Epoch: a.GetEpoch(),
+	}
+	cmd := &wire.Command{
+		Id:     fmt.Sprintf("%s/%s/%s/%d", verb, a.GetRole(), a.GetName(), a.GetEpoch()),
+		Who:    a.GetName(),
+		Expect: -1,
+		Body:   &wire.Command_Register{Register: &wire.Register{Attach: attach, Gone: r.GetGone()}},
+	}
+	for ctx.Err() == nil && c.ctx.Err() == nil {
+		result := c.command(ctx, cmd, false)
+		switch result.GetOutcome() {
+		case wire.Outcome_OUTCOME_REFUSED, wire.Outcome_OUTCOME_PENDING:
+			c.pause(ctx, registerInterval)
+		case wire.Outcome_OUTCOME_INVALID:
+			c.s.Log.Warn().Str("name", a.GetName()).Str("text", result.GetText()).Msg("registration invalid")
+
+			return
+		default:
+			return
+		}
+	}
+}
+
+// feed sends an update at each change and a pulse at each interval.
+func (c *Controller) feed(ctx context.Context, s *messenger.Stream, sent uint64) {
+	pulse := make(chan struct{}, 1)
+	stop := c.s.Timer.Every(c.s.Pulse, func(time.Time) {
+		select {
+		case pulse <- struct{}{}:
+		default:
+		}
+	})
+	defer stop()
+	first := true
+	for ctx.Err() == nil {
+		bell := c.desk.changed()
+		var err error
+		if sent, err = c.sendUpdate(s, sent, first); err != nil {
+			return
+		}
+		first = false
+		select {
+		case <-ctx.Done():
+		case <-bell:
+		case <-pulse:
+			if c.sendPulse(s) != nil {
+				return
+			}
+		}
+	}
+}
+
+// sendUpdate sends what changed after sent. A host that is behind the subscriber
+// sends nothing, as a subscriber never goes back.
+func (c *Controller) sendUpdate(s *messenger.Stream, sent uint64, first bool) (uint64, error) {
+	var update *wire.Update
+	ran := c.do(func() {
+		if index := c.state.Index(); index < sent || index == sent && !first {
+			return
+		}
+		if c.updates[sent] == nil {
+			c.updates[sent] = c.state.UpdateSince(sent)
+		}
+		update = c.updates[sent]
+	})
+	if !ran && c.founded.Load() {
+		return sent, ErrClosed
+	}
+	if update == nil {
+		return sent, nil
+	}
+	if err := s.Send(&wire.Notice{Body: &wire.Notice_Update{Update: update}}); err != nil {
+		return sent, errors.Newf("send update: %w", err)
+	}
+
+	return max(sent, update.GetIndex()), nil
+}
+
+func (c *Controller) sendPulse(s *messenger.Stream) error {
+	p := &wire.Pulse{Lease: neverHeard}
+	c.do(func() {
+		p.Index = c.state.Index()
+		if lease := c.core.Lease(c.s.Timer.Now()); lease >= 0 {
+			p.Lease = min(lease.Milliseconds(), neverHeard)
+		}
+	})
+	if err := s.Send(&wire.Notice{Body: &wire.Notice_Pulse{Pulse: p}}); err != nil {
+		return errors.Newf("send pulse: %w", err)
+	}
+
+	return nil
+}
--- a/internal/controller/settings.go
+++ b/internal/controller/settings.go
@@ -9,6 +9,8 @@
 	"github.com/cockroachdb/errors"
 	"github.com/phuslu/log"
 
+	"github.com/damasklever/damasklever/internal/recorder"
+	"github.com/damasklever/damasklever/internal/registrar"
 	"github.com/damasklever/damasklever/internal/timer"
 	"github.com/damasklever/damasklever/internal/wire"
 )
@@ -18,11 +20,23 @@
 	defaultHeartbeat = 200 * time.Millisecond
 	defaultPulse     = 2 * time.Second
 	defaultCommit    = 3 * time.Second
-	defaultForce     = time.Second
-	defaultAbsent    = 6 * time.Second
+	defaultForce     = 2500 * time.Millisecond
+	defaultAbsent    = 15 * time.Second
 	defaultCompact   = 10_000
 )
 
+// State is the replicated state machine. The controller serialises all calls.
+type State interface {
+	Apply(index uint64, now time.Time, cmd *wire.Command) *wire.Result
+	// Index is the log index of the last change that subscribers see.
+	Index() uint64
+	Revision() uint64
+	Query(q *wire.Query) (*wire.Table, error)
+	UpdateSince(index uint64) *wire.Update
+	Snapshot() ([]byte, error)
+	Restore(data []byte) error
+}
+
 // Settings of a control process. Listen and Folder have no defaults.
 type Settings struct {
 	// Number is the id of this host among Members, from 1.
@@ -34,9 +48,11 @@
 	Folder string
 	// Members are the members that found the cluster: number and address. It is
 	// used only while Folder is empty. All of them must be up once at the same
-	// time to found the cluster. If it is empty, the host waits until it is
-	// added to a cluster that exists.
+	// time to found the cluster.
 	Members []*wire.Member
+	// Join is set, and Members empty, on a host that waits until it is added to
+	// a cluster that exists.
+	Join bool
 	// Election is the shortest election timeout; a leader that hears from no
 	// majority for this long steps down.
 	Election time.Duration
@@ -47,15 +63,21 @@
 	// Commit bounds the wait for a commit and for a confirmed read.
 	Commit time.Duration
 	// Force bounds the wait for attached processes to report a new revision.
+	// Processes report at least every Pulse.
 	Force time.Duration
 	// Absent is how long an entry process is detached from all hosts before its
-	// running claims are lost: its lease of 3 s and a margin of the same length.
+	// running claims are lost: its lease of 3 s and a margin in which it can
+	// notice that its control host was cut off and attach to another one.
 	Absent time.Duration
 	// Compact is the number of entries between two snapshots.
 	Compact uint64
 	// Seed of the randomised election timeout; 0 draws one.
 	Seed uint64
 
+	// State is the replicated state machine; nil for a new registrar.
+	State State
+	// Files is the data directory; nil for Folder.
+	Files recorder.Files
 	// Timer is the clock. New starts one if it is nil.
 	Timer timer.Service
 	// Log receives one line an event; nil discards them.
@@ -76,6 +98,9 @@
 	if s.Compact == 0 {
 		s.Compact = defaultCompact
 	}
+	if s.State == nil {
+		s.State = registrar.New()
+	}
 	if s.Log == nil {
 		s.Log = &log.Logger{Writer: log.IOWriter{Writer: io.Discard}}
 	}
@@ -109,6 +134,8 @@
 		add(m.GetNumber() == 0 || numbers[m.GetNumber()], "members: numbers must be distinct and not 0")
 		numbers[m.GetNumber()] = true
 	}
+	add(len(s.Members) == 0 && !s.Join, "members: missing; name the founding members or set join")
+	add(len(s.Members) > 0 && s.Join, "join: members must be empty")
 	add(len(s.Members) > 0 && !slices.ContainsFunc(s.Members, func(m *wire.Member) bool {
 		return m.GetNumber() == s.Number
 	}), "members: this host's number is not among them")
--- a/internal/recorder/files.go
+++ b/internal/recorder/files.go
@@ -45,18 +45,22 @@
 	return folder{path: path}, nil
 }
 
+// Read implements Files.
 func (f folder) Read(name string) ([]byte, error) {
 	return os.ReadFile(filepath.Join(f.path, name)) //nolint:wrapcheck // wrapped by the caller
 }
 
+// Open implements Files.
 func (f folder) Open(name string) (File, error) {
 	return os.OpenFile(filepath.Join(f.path, name), os.O_RDWR|os.O_CREATE, fileMode)
 }
 
+// Rename implements Files.
 func (f folder) Rename(from, to string) error {
 	return os.Rename(filepath.Join(f.path, from), filepath.Join(f.path, to))
 }
 
+// SyncFolder implements Files.
 func (f folder) SyncFolder() error {
 	d, err := os.Open(f.path)
 	if err != nil {
@@ -67,6 +71,7 @@
 	return errors.CombineErrors(err, d.Close())
 }
 
+// Lock implements Files by an advisory lock that ends with the process.
 func (f folder) Lock() (func() error, error) {
 	file, err := os.OpenFile(filepath.Join(f.path, "lock"), os.O_RDWR|os.O_CREATE, fileMode)
 	if err != nil {
