Refuse the head of the queue once it cannot be granted in time

Cause: a large ask whose units did not come free as expected blocked its server until its due time, and its entry could not try elsewhere. Without the change TestHeadTooLate gets no decision.

--- a/internal/granter/granter_test.go
+++ b/internal/granter/granter_test.go
@@ -255,6 +255,26 @@
 	}
 }
 
+// Guards against an ask that blocks the queue until its due time although it can
+// no longer be granted by then.
+func TestHeadTooLate(t *testing.T) {
+	t.Parallel()
+	s := Defaults(10)
+	s.Ranks = []Rank{{Share: 100}, {Share: 100}}
+	g := newGranter(t, s)
+	g.Ask(start, ask("running", 0, 8)) // expected to end after 1 s
+	large, small := ask("large", 0, 10), ask("small", 1, 2)
+	large.Due = at(1_200)
+	g.Ask(start, large)
+	if got := list(g.Ask(start, small)); got != "" {
+		t.Fatalf("behind the large ask: got %q, want none", got)
+	}
+	got := list(g.Tick(at(1_150)))
+	if want := "large:refused:deadline small:granted "; got != want {
+		t.Errorf("running longer than expected: got %q, want %q", got, want)
+	}
+}
+
 // Guards against promises that are broken often: after ends at 60% and at 140%
 // of the cost, a promise half way must not count on the release, one later may.
 func TestLearnedEnds(t *testing.T) {
--- a/internal/granter/serve.go
+++ b/internal/granter/serve.go
@@ -56,6 +56,13 @@
 			continue
 		}
 		if !g.fits(now, it) {
+			if wait := g.until(now, it.units, 0); now.Add(wait).After(it.Due.Add(it.Hold)) {
+				g.drop(now, it)
+				g.say(it, Refused, ReasonDeadline, max(wait, shortest))
+
+				continue
+			}
+
 			return
 		}
 		g.grant(now, it)
