Let a second transfer path cross regions

Cause: a stalled transfer needs another decode server within the 0.8 s that the prefill result lives. With two decode servers a region only one was left, and it is full under load.

--- a/internal/picker/picker.go
+++ b/internal/picker/picker.go
@@ -210,8 +210,10 @@
 	if n <= 0 {
 		return nil
 	}
-	// A paid candidate asked besides a near one would often grant first.
-	for n > 1 && p.scored[n-1].Paid && p.scored[n-1].Score > p.scored[0].Score+p.s.Spread.Seconds() {
+	// A paid candidate asked besides a near one would often grant first. A
+	// decode server for a prefill that is done has under a second, though.
+	for second := from.kv && q.Phase == Decode; !second && n > 1 && p.scored[n-1].Paid &&
+		p.scored[n-1].Score > p.scored[0].Score+p.s.Spread.Seconds(); {
 		n--
 	}
 	out := make([]Candidate, n)
