Test the agent's state machine in random order of events

A property test found that a crash which dropped one attempt could start another, held one on the dead server, because the grant queue gave the freed units away before the other attempt was dropped as well.

--- a/internal/attendant/attendant.go
+++ b/internal/attendant/attendant.go
@@ -73,6 +73,7 @@
 	crashes    int
 	orders     map[string]string // state of orders that run, for the dump
 	ending     bool
+	closed     bool // nothing new is started
 	sweeping   bool
 	drained    func() // stops the wait for the end
 }
@@ -235,6 +236,9 @@
 		for _, stop := range a.stops {
 			stop()
 		}
+		a.mu.Lock()
+		a.closed = true
+		a.mu.Unlock()
 		a.cancel()
 		if a.listener != nil {
 			_ = a.listener.Close()
@@ -278,7 +282,7 @@
 func (a *Attendant) startSweep(time.Time) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if a.sweeping || a.ctx.Err() != nil {
+	if a.sweeping || a.closed {
 		return
 	}
 	a.sweeping = true
--- /dev/null
+++ b/internal/attendant/keeper_test.go
@@ -0,0 +1,294 @@
+package attendant
+
+import (
+	"slices"
+	"strconv"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/damasklever/damasklever/internal/blamer"
+	"github.com/damasklever/damasklever/internal/driver"
+	"github.com/damasklever/damasklever/internal/granter"
+	"github.com/damasklever/damasklever/internal/wire"
+)
+
+const testPieces = 8
+
+// world is a keeper with a fake backend server of which the test knows exactly
+// what it holds, what was started and what the entries were told.
+type world struct {
+	t       *rapid.T
+	now     time.Time
+	keeper  *keeper
+	queue   *granter.Granter
+	plain   bool
+	next    int
+	ids     []string
+	held    map[string]int64 // pieces on the engine
+	running map[string]*wire.Call
+	stops   map[string]bool
+	started map[string]int
+	notRun  map[string]bool // told that it did not run and never will
+}
+
+// Send implements link for every stream.
+func (w *world) Send(r *wire.Reply) {
+	if d := r.GetWithdrawn(); d != nil && !d.GetRan() {
+		if w.started[d.GetId()] > 0 {
+			w.t.Fatalf("%s: got ran=false, want true: it was started", d.GetId())
+		}
+		w.notRun[d.GetId()] = true
+	}
+}
+
+type silent struct{}
+
+func (silent) Asked(*attempt)                        {}
+func (silent) Refused(int32, string)                 {}
+func (silent) Ended(*attempt, string, time.Duration) {}
+func (silent) Crashed()                              {}
+
+func newWorld(t *rapid.T, plain bool) *world {
+	s := granter.Defaults(testPieces)
+	if plain {
+		s.Slots = testPieces
+	}
+	queue, err := granter.New(s)
+	if err != nil {
+		t.Fatal(err)
+	}
+	record, err := blamer.New(blamer.Defaults())
+	if err != nil {
+		t.Fatal(err)
+	}
+	w := &world{
+		t: t, now: time.Unix(1000, 0), queue: queue, plain: plain,
+		held: make(map[string]int64), running: make(map[string]*wire.Call),
+		stops: make(map[string]bool), started: make(map[string]int), notRun: make(map[string]bool),
+	}
+	w.keeper = newKeeper(w.now, keeperSettings{
+		epoch: 7, plain: plain, lease: 3 * time.Second, linger: 10 * time.Second, isolate: time.Second,
+	}, queue, record, silent{})
+	w.keeper.Up()
+
+	return w
+}
+
+// do carries out actions on the fake backend server and checks them.
+func (w *world) do(actions []action) {
+	for _, a := range actions {
+		switch a.kind {
+		case actStart:
+			if w.notRun[a.id] {
+				w.t.Fatalf("%s: started after ran=false", a.id)
+			}
+			if !w.keeper.up {
+				w.t.Fatalf("%s: started while the server is down", a.id)
+			}
+			w.started[a.id]++
+			if limit := 1 + decodes(a.call); w.started[a.id] > limit {
+				w.t.Fatalf("%s: started %d times", a.id, w.started[a.id])
+			}
+			w.running[a.id] = a.call
+			w.held[a.id] = a.pieces
+		case actStop:
+			w.stops[a.id] = true
+			delete(w.running, a.id)
+		case actDrop:
+			if !w.plain {
+				delete(w.running, a.id)
+			}
+		case actBlame:
+		}
+	}
+	sum := int64(0)
+	for _, pieces := range w.held {
+		sum += pieces
+	}
+	if sum > testPieces {
+		w.t.Fatalf("the server holds %d pieces, want at most %d: %v", sum, testPieces, w.held)
+	}
+}
+
+// decodes is 1 for a decode, which follows an import of the same attempt.
+func decodes(call *wire.Call) int {
+	if call.GetDecode() != nil {
+		return 1
+	}
+
+	return 0
+}
+
+func (w *world) pick() string {
+	if len(w.ids) == 0 {
+		return "none"
+	}
+
+	return rapid.SampledFrom(w.ids).Draw(w.t, "id")
+}
+
+func (w *world) ask(*rapid.T) {
+	id := "a" + strconv.Itoa(w.next)
+	if rapid.Bool().Draw(w.t, "new") || len(w.ids) == 0 {
+		w.next++
+		w.ids = append(w.ids, id)
+	} else {
+		id = w.pick()
+	}
+	phase := rapid.SampledFrom([]wire.Phase{wire.Phase_PHASE_PREFILL, wire.Phase_PHASE_DECODE}).Draw(w.t, "phase")
+	if w.plain {
+		phase = wire.Phase_PHASE_PLAIN
+	}
+	w.do(w.keeper.Ask(w.now, w, &wire.Ask{
+		Id: id, Phase: phase, Due: 5000, Cost: 100_000,
+		Entry: rapid.SampledFrom([]string{"e1", "e2"}).Draw(w.t, "entry"), Epoch: 1,
+		Hold:   rapid.SampledFrom([]int64{0, 500_000}).Draw(w.t, "hold"),
+		Pieces: rapid.Int64Range(1, testPieces).Draw(w.t, "pieces"),
+		Rank:   rapid.Int32Range(0, 2).Draw(w.t, "rank"),
+		Digest: rapid.SampledFrom([]string{"x", "y", "z"}).Draw(w.t, "digest"),
+	}))
+}
+
+func (w *world) dispatch(*rapid.T) {
+	id := w.pick()
+	calls := []*wire.Call{
+		{Body: &wire.Call_Prefill{Prefill: &wire.Prefill{Id: id}}},
+		{Body: &wire.Call_Import{Import: &wire.Import{Id: id}}},
+		{Body: &wire.Call_Decode{Decode: &wire.Decode{Id: id}}},
+	}
+	if w.plain {
+		calls = []*wire.Call{{Body: &wire.Call_Run{Run: &wire.Run{Id: id}}}}
+	}
+	w.do(w.keeper.Dispatch(w.now, w, rapid.SampledFrom(calls).Draw(w.t, "call")))
+}
+
+func (w *world) withdraw(*rapid.T) {
+	w.do(w.keeper.Withdraw(w.now, w, &wire.Withdraw{Id: w.pick(), Epoch: 7}))
+}
+
+// finish ends one running call, well or with an error.
+func (w *world) finish(*rapid.T) {
+	ids := make([]string, 0, len(w.running))
+	for id := range w.running {
+		ids = append(ids, id)
+	}
+	if len(ids) == 0 {
+		return
+	}
+	slices.Sort(ids)
+	id := rapid.SampledFrom(ids).Draw(w.t, "running")
+	w.end(id, rapid.Bool().Draw(w.t, "ok"))
+}
+
+func (w *world) end(id string, ok bool) {
+	call := w.running[id]
+	delete(w.running, id)
+	o := outcome{}
+	switch {
+	case !ok:
+		o.err = driver.ErrBroken
+	case call.GetPrefill() != nil:
+		o.prefilled = &wire.Prefilled{Id: id}
+	case call.GetImport() != nil:
+		o.imported = true
+	case call.GetRun() != nil:
+		o.answer = &wire.Answer{Id: id}
+	}
+	if w.plain || ok && call.GetDecode() != nil {
+		delete(w.held, id)
+	}
+	w.do(w.keeper.Finished(w.now, id, o))
+}
+
+// confirm cancels one attempt on the engine.
+func (w *world) confirm(*rapid.T) {
+	for _, id := range w.ids {
+		if w.stops[id] {
+			delete(w.stops, id)
+			delete(w.held, id)
+			w.do(w.keeper.Cancelled(w.now, id))
+
+			return
+		}
+	}
+}
+
+func (w *world) crash(*rapid.T) {
+	actions := w.keeper.Down(w.now)
+	clear(w.stops)
+	if !w.plain {
+		clear(w.held)
+		clear(w.running)
+	}
+	w.do(actions)
+	for _, id := range w.ids {
+		if w.running[id] != nil {
+			w.end(id, false)
+		}
+	}
+	w.keeper.Up()
+}
+
+func (w *world) tick(*rapid.T) {
+	w.now = w.now.Add(time.Duration(rapid.IntRange(1, 1500).Draw(w.t, "ms")) * time.Millisecond)
+	if rapid.Bool().Draw(w.t, "renew") {
+		w.keeper.Renew(w.now, "e1", 1)
+	}
+	w.do(w.keeper.Tick(w.now))
+}
+
+// sweep reports what the engine really holds.
+func (w *world) sweep(*rapid.T) {
+	var ids []string
+	for _, id := range w.ids {
+		if _, ok := w.held[id]; ok {
+			ids = append(ids, id)
+		}
+	}
+	stray, actions := w.keeper.Sweep(w.now, w.now, ids)
+	if len(stray) > 0 {
+		w.t.Fatalf("got stray work %v, want none: the engine is faultless", stray)
+	}
+	w.do(actions)
+}
+
+func (w *world) detach(*rapid.T) { w.keeper.Detach(w) }
+
+// settle lets every lease end and the backend server confirm everything.
+func (w *world) settle() {
+	for range 300 {
+		w.now = w.now.Add(100 * time.Millisecond)
+		w.do(w.keeper.Tick(w.now))
+		for _, id := range w.ids {
+			if w.running[id] != nil {
+				w.end(id, false)
+			}
+		}
+		w.confirm(nil)
+	}
+	if load := w.queue.Load(w.now); load.Free != load.Total || len(w.held) > 0 || len(w.keeper.attempts) > 0 {
+		w.t.Fatalf("after all leases: got %d of %d free, %v held and %d attempts, want nothing left",
+			load.Free, load.Total, w.held, len(w.keeper.attempts))
+	}
+}
+
+// Guards against memory that is granted twice or never freed, work that starts
+// after it was reported as not run, and work that starts twice, in any order of
+// asks, dispatches, withdrawals, results, crashes and lost entries.
+func TestKeeperInvariants(t *testing.T) {
+	for name, plain := range map[string]bool{"engine": false, "plain": true} {
+		t.Run(name, func(t *testing.T) {
+			rapid.Check(t, func(t *rapid.T) {
+				w := newWorld(t, plain)
+				t.Repeat(map[string]func(*rapid.T){
+					"ask": w.ask, "ask again": w.ask, "dispatch": w.dispatch, "dispatch again": w.dispatch,
+					"withdraw": w.withdraw, "finish": w.finish, "confirm": w.confirm,
+					"crash": w.crash, "tick": w.tick, "sweep": w.sweep, "detach": w.detach,
+				})
+				w.settle()
+			})
+		})
+	}
+}
--- a/internal/attendant/lifecycle.go
+++ b/internal/attendant/lifecycle.go
@@ -59,6 +59,7 @@
 	k.pen = slices.DeleteFunc(k.pen, func(p *penned) bool {
 		return leaseName(p.ask.GetEntry(), p.ask.GetEpoch()) == entry
 	})
+	k.dropUnsent(now, reason, 0, func(a *attempt) bool { return a.entry == entry })
 	for _, id := range k.sorted() {
 		if a := k.attempts[id]; a != nil && a.entry == entry {
 			k.revoke(now, a, reason)
@@ -66,6 +67,22 @@
 	}
 }
 
+// dropUnsent refuses the attempts that match and have no work on the backend
+// server. All are forgotten before the grant queue may give their units to
+// others, as those others must not be among them.
+func (k *keeper) dropUnsent(now time.Time, reason string, after time.Duration, match func(*attempt) bool) {
+	var ids []string
+	for _, id := range k.sorted() {
+		if a := k.attempts[id]; a.active() && !a.sent && match(a) {
+			k.forgetRefused(now, a, reason, after)
+			ids = append(ids, id)
+		}
+	}
+	for _, id := range ids {
+		k.decide(now, k.queue.Withdraw(now, id))
+	}
+}
+
 // sorted lists the ids of all attempts, so that equal events have equal results.
 func (k *keeper) sorted() []string { return slices.Sorted(maps.Keys(k.attempts)) }
 
@@ -85,6 +102,7 @@
 		k.remember(now, p.ask.GetId(), false)
 	}
 	k.pen = nil
+	k.dropUnsent(now, reasonCrashed, retryDown, func(*attempt) bool { return true })
 	for _, id := range k.sorted() {
 		if a := k.attempts[id]; a != nil {
 			k.crash(now, a)
@@ -98,10 +116,6 @@
 func (k *keeper) crash(now time.Time, a *attempt) {
 	switch {
 	case a.stage == stageOver:
-	case !a.sent:
-		k.refuse(a.link, a.id, reasonCrashed, retryDown)
-		k.forget(now, a)
-		k.decide(now, k.queue.Withdraw(now, a.id))
 	case k.s.plain:
 		// Only the end of the call tells whether the service has seen it.
 		a.crashed = true
@@ -132,12 +146,7 @@
 		k.remember(now, p.ask.GetId(), false)
 	}
 	k.pen = nil
-	for _, id := range k.sorted() {
-		if a := k.attempts[id]; a != nil && a.stage == stageQueued {
-			k.forgetRefused(now, a, text, 0)
-			k.decide(now, k.queue.Withdraw(now, id))
-		}
-	}
+	k.dropUnsent(now, text, 0, func(a *attempt) bool { return a.stage == stageQueued })
 
 	return k.take()
 }
--- a/internal/attendant/link.go
+++ b/internal/attendant/link.go
@@ -2,12 +2,16 @@
 
 import (
 	"sync"
+	"time"
 
 	"google.golang.org/protobuf/proto"
 
 	"github.com/damasklever/damasklever/internal/wire"
 )
 
+// flushTime bounds the wait for an entry that does not read its last replies.
+const flushTime = 2 * time.Second
+
 // sender is the write side of a stream.
 type sender interface {
 	Send(m proto.Message) error
@@ -47,8 +51,10 @@
 	o.signal()
 }
 
-// Flush waits until everything was sent or the stream broke.
+// Flush waits until everything was sent or the stream broke. An entry that does
+// not read is given up after a time.
 func (o *outbox) Flush() {
+	defer time.AfterFunc(flushTime, o.Close).Stop()
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	for !o.closed && (o.busy || len(o.queue) > 0) {
--- a/internal/attendant/rig_test.go
+++ b/internal/attendant/rig_test.go
@@ -143,6 +143,10 @@
 	}
 }
 
+func quiet() *log.Logger {
+	return &log.Logger{Level: log.FatalLevel, Writer: &log.IOWriter{Writer: io.Discard}}
+}
+
 // newSite starts an engine and its agent. The agent's clock is driven by the
 // test; the sockets are real.
 func newSite(t *testing.T, s imitator.EngineSettings) *site {
@@ -179,7 +183,7 @@
 	agent, err := attendant.New(attendant.Settings{
 		Name: "s1", Service: "desk", Region: "kochi", Backend: backend, Phase: phase,
 		Pieces: pieces, Stall: 300 * time.Millisecond,
-	}, attendant.Deps{Timer: h.clock, Log: &log.Logger{Level: log.FatalLevel, Writer: &log.IOWriter{Writer: io.Discard}}, Control: h.control})
+	}, attendant.Deps{Timer: h.clock, Log: quiet(), Control: h.control})
 	if err != nil {
 		h.t.Fatal(err)
 	}
--- a/internal/attendant/withdraw.go
+++ b/internal/attendant/withdraw.go
@@ -80,8 +80,8 @@
 	switch {
 	case a.stage == stageOver || a.stage == stageCancelling:
 	case !a.sent:
-		k.refuse(a.link, a.id, reason, 0)
-		k.gone(now, a)
+		k.forgetRefused(now, a, reason, 0)
+		k.decide(now, k.queue.Withdraw(now, a.id))
 	default:
 		r := endedReply(a.id, wire.Status_STATUS_REVOKED, 0, reason)
 		if a.link != nil {
--- a/internal/attendant/worker.go
+++ b/internal/attendant/worker.go
@@ -48,6 +48,9 @@
 // perform carries actions out without blocking. The caller holds mu, so that
 // the actions of two events keep their order.
 func (a *Attendant) perform(actions []action) {
+	if a.closed {
+		return
+	}
 	for _, act := range actions {
 		switch act.kind {
 		case actStart:
--- /dev/null
+++ b/internal/imitator/engine_test.go
@@ -0,0 +1,209 @@
+package imitator_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/damasklever/damasklever/internal/driver"
+	"github.com/damasklever/damasklever/internal/imitator"
+)
+
+func start(t *testing.T, s imitator.EngineSettings) (*imitator.Engine, *driver.Client) {
+	t.Helper()
+	e, err := imitator.NewEngine(s)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := e.Start("127.0.0.1:0"); err != nil {
+		t.Fatal(err)
+	}
+	c := driver.New(e.Addr(), 10*time.Second)
+	t.Cleanup(func() {
+		c.Close()
+		_ = e.Close()
+	})
+
+	return e, c
+}
+
+func await(t *testing.T, e *imitator.Engine, ok func(imitator.Counters) bool) {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(t.Context(), 20*time.Second)
+	defer cancel()
+	if err := e.Await(ctx, ok); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// Guards against a stand-in that gives memory it does not have.
+func TestMemory(t *testing.T) {
+	e, c := start(t, imitator.EngineSettings{Role: "prefill", Pieces: 4, Keep: time.Hour})
+	if _, err := c.Prefill(t.Context(), driver.Prefill{ID: "a", Tokens: 1, Pieces: 3}); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := c.Prefill(t.Context(), driver.Prefill{ID: "b", Tokens: 1, Pieces: 2}); !errors.Is(err, driver.ErrMemory) {
+		t.Errorf("got %v, want %v", err, driver.ErrMemory)
+	}
+	if err := c.Cancel(t.Context(), "a"); err != nil {
+		t.Fatal(err)
+	}
+	if got, want := e.Counters().Held, int64(0); got != want {
+		t.Errorf("held: got %d, want %d", got, want)
+	}
+}
+
+// Guards against a prefill result that stays although nobody imports it.
+func TestEviction(t *testing.T) {
+	e, c := start(t, imitator.EngineSettings{Role: "prefill", Keep: 10 * time.Millisecond})
+	got, err := c.Prefill(t.Context(), driver.Prefill{ID: "a", Tokens: 1, Pieces: 1})
+	if err != nil {
+		t.Fatal(err)
+	}
+	await(t, e, func(c imitator.Counters) bool { return c.Wasted == 1 && c.Held == 0 })
+	_, decode := start(t, imitator.EngineSettings{})
+	err = decode.Import(t.Context(), driver.Import{ID: "b", Handle: got.Handle, Source: e.Addr(), Pieces: 1})
+	if !errors.Is(err, driver.ErrEvicted) {
+		t.Errorf("got %v, want %v", err, driver.ErrEvicted)
+	}
+}
+
+// Guards against a cache that never hits or never evicts, and against events
+// that arrive without a gap.
+func TestPrefixCache(t *testing.T) {
+	e, c := start(t, imitator.EngineSettings{
+		Role: "prefill", Cache: 2, PrefillRate: 1e6, EventDelay: time.Millisecond, EventGap: 2,
+	})
+	for i, want := range []int64{0, 4096, 0, 0} {
+		prefix := [][]uint64{{1, 2}, {1, 2}, {3, 4}, {1, 2}}[i]
+		got, err := c.Prefill(t.Context(), driver.Prefill{
+			ID: fmt.Sprint(i), Tokens: 5000, Pieces: 1, Prefix: prefix,
+		})
+		if err != nil {
+			t.Fatal(err)
+		}
+		if got.Cached != want {
+			t.Errorf("prefill %d: got %d tokens cached, want %d", i, got.Cached, want)
+		}
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	var seqs []uint64
+	_ = c.Watch(ctx, func(event driver.Event) {
+		if event.Seq > 0 {
+			seqs = append(seqs, event.Seq)
+		}
+		if event.Seq == 3 {
+			cancel()
+		}
+	})
+	if got, want := fmt.Sprint(seqs), "[1 3]"; got != want {
+		t.Errorf("events: got %s, want %s", got, want)
+	}
+	if got, want := e.Counters().Prefills, 4; got != want {
+		t.Errorf("prefills: got %d, want %d", got, want)
+	}
+}
+
+// Guards against an urgent prefill that waits behind a long one.
+func TestPriority(t *testing.T) {
+	e, c := start(t, imitator.EngineSettings{Role: "prefill", PrefillRate: 1000})
+	go func() {
+		_, _ = c.Prefill(t.Context(), driver.Prefill{ID: "long", Tokens: 1_000_000, Pieces: 1, Rank: 2})
+	}()
+	await(t, e, func(c imitator.Counters) bool { return c.Prefills == 1 })
+	if _, err := c.Prefill(t.Context(), driver.Prefill{ID: "urgent", Tokens: 50, Pieces: 1}); err != nil {
+		t.Fatal(err)
+	}
+	work, err := c.Work(t.Context())
+	if err != nil {
+		t.Fatal(err)
+	}
+	if got, want := len(work), 2; got != want {
+		t.Errorf("work: got %v, want %d entries", work, want)
+	}
+}
+
+// Guards against a load report that is up to date, which real ones are not.
+func TestLoadLags(t *testing.T) {
+	_, c := start(t, imitator.EngineSettings{Role: "prefill", Pieces: 4, LoadDelay: time.Hour, Keep: time.Hour})
+	if _, err := c.Prefill(t.Context(), driver.Prefill{ID: "a", Tokens: 1, Pieces: 3}); err != nil {
+		t.Fatal(err)
+	}
+	load, err := c.Load(t.Context())
+	if err != nil {
+		t.Fatal(err)
+	}
+	if got, want := load.Free, int64(4); got != want {
+		t.Errorf("free an hour ago: got %d, want %d", got, want)
+	}
+}
+
+// Guards against an engine that survives a crash with its state, or that does
+// not come back.
+func TestCrash(t *testing.T) {
+	e, c := start(t, imitator.EngineSettings{Role: "prefill", Restart: 10 * time.Millisecond, Keep: time.Hour})
+	if _, err := c.Prefill(t.Context(), driver.Prefill{ID: "a", Tokens: 1, Pieces: 3}); err != nil {
+		t.Fatal(err)
+	}
+	_, err := c.Prefill(t.Context(), driver.Prefill{ID: "b", Prompt: "a [crash] b", Tokens: 1, Pieces: 1})
+	if !errors.Is(err, driver.ErrBroken) {
+		t.Errorf("got %v, want %v", err, driver.ErrBroken)
+	}
+	await(t, e, func(c imitator.Counters) bool { return c.Boots == 2 })
+	if got, want := e.Counters().Held, int64(0); got != want {
+		t.Errorf("held: got %d, want %d", got, want)
+	}
+}
+
+// Guards against an engine that ignores fencing tokens although it should check
+// them, or the reverse.
+func TestFence(t *testing.T) {
+	for name, check := range map[string]bool{"checks": true, "ignores": false} {
+		t.Run(name, func(t *testing.T) {
+			_, c := start(t, imitator.EngineSettings{CheckFence: check})
+			if err := c.Order(t.Context(), driver.Order{ID: "a", Verb: "load", Subject: "m", Fence: 2}); err != nil {
+				t.Fatal(err)
+			}
+			err := c.Order(t.Context(), driver.Order{ID: "b", Verb: "unload", Subject: "m", Fence: 1})
+			if got := errors.Is(err, driver.ErrStale); got != check {
+				t.Errorf("got %v, want stale %v", err, check)
+			}
+		})
+	}
+}
+
+// Guards against a plain service that miscounts its runs.
+func TestPlain(t *testing.T) {
+	p := imitator.NewPlain(time.Millisecond)
+	if err := p.Start("127.0.0.1:0"); err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = p.Close() }()
+	req, err := http.NewRequest(http.MethodPost, "http://"+p.Addr()+"/x", strings.NewReader("body"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	req.Header.Set(imitator.HeaderKey, "k")
+	res, err := http.DefaultClient.Do(req)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = res.Body.Close() }()
+	body, err := io.ReadAll(res.Body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if got, want := string(body), "body"; got != want {
+		t.Errorf("body: got %q, want %q", got, want)
+	}
+	if got, want := p.Runs("k"), 1; got != want {
+		t.Errorf("runs: got %d, want %d", got, want)
+	}
+}
