--- /dev/null
+++ b/cmd/damasklever/session_test.go
@@ -0,0 +1,125 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/rogpeppe/go-internal/testscript"
+)
+
+// Limits of a wait in a session. They only bound a hang; no result depends on
+// how long something took.
+const (
+	waitLimit = 60 * time.Second
+	waitPause = 50 * time.Millisecond
+)
+
+// TestMain builds both programs and adds the stand-ins and the caller as
+// commands of the sessions, each of which runs as a process of its own.
+func TestMain(m *testing.M) {
+	folder, err := os.MkdirTemp("", "damasklever")
+	if err != nil {
+		panic(err)
+	}
+	for _, program := range []string{"damasklever", "damaskctl"} {
+		build := exec.Command("go", "build", "-o", filepath.Join(folder, program), "../"+program)
+		if out, err := build.CombinedOutput(); err != nil && os.Getenv("TESTSCRIPT_COMMAND") == "" {
+			panic(fmt.Sprintf("build %s: %v\n%s", program, err, out))
+		}
+	}
+	programs = folder
+	testscript.Main(m, map[string]func(){
+		"engine": engineMain,
+		"plain":  plainMain,
+		"caller": callerMain,
+	})
+}
+
+// programs is the folder of the built programs.
+var programs string
+
+// Guards the whole path as separate processes: what callers and operators see
+// is held in the golden files.
+func TestSessions(t *testing.T) {
+	testscript.Run(t, testscript.Params{
+		Dir: "testdata/session",
+		Setup: func(env *testscript.Env) error {
+			env.Setenv("PATH", programs+string(os.PathListSeparator)+env.Getenv("PATH"))
+
+			return nil
+		},
+		Cmds: map[string]func(*testscript.TestScript, bool, []string){
+			"ports": ports,
+			"await": await,
+			"exits": exits,
+		},
+	})
+}
+
+// ports NAME... sets each variable to a free loopback address. All are kept
+// open until all are chosen, so that they differ.
+func ports(ts *testscript.TestScript, _ bool, args []string) {
+	for _, name := range args {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		ts.Check(err)
+		defer l.Close()
+		ts.Setenv(name, l.Addr().String())
+	}
+}
+
+// await URL [TEXT] waits until the answer has status 200 and contains the text.
+// With "!" it waits until there is no such answer.
+func await(ts *testscript.TestScript, neg bool, args []string) {
+	ctx, cancel := context.WithTimeout(context.Background(), waitLimit)
+	defer cancel()
+	ticker := time.NewTicker(waitPause)
+	defer ticker.Stop()
+	text := strings.Join(args[1:], " ")
+	for answered(ctx, args[0], text) == neg {
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			ts.Fatalf("%s: no answer with %q in %s", args[0], text, waitLimit)
+		}
+	}
+}
+
+func answered(ctx context.Context, url, text string) bool {
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, url, http.NoBody)
+	if err != nil {
+		return false
+	}
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return false
+	}
+	defer response.Body.Close()
+
+	return response.StatusCode == http.StatusOK && strings.Contains(readAll(response), text)
+}
+
+// exits STATUS PROGRAM ARG... runs a program to its end and checks its exit
+// status.
+func exits(ts *testscript.TestScript, _ bool, args []string) {
+	err := ts.Exec(args[1], args[2:]...)
+	got, want := 0, args[0]
+	var exit *exec.ExitError
+	if errors.As(err, &exit) {
+		got = exit.ExitCode()
+	} else if err != nil {
+		ts.Fatalf("run %s: %v", args[1], err)
+	}
+	if strconv.Itoa(got) != want {
+		ts.Fatalf("exit status: got %d, want %s", got, want)
+	}
+}
--- /dev/null
+++ b/cmd/damasklever/standin_test.go
@@ -0,0 +1,128 @@
+package main
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"flag"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/signal"
+	"strings"
+	"syscall"
+	"time"
+
+	"github.com/damasklever/damasklever/internal/imitator"
+)
+
+// engineMain runs a fake engine until a signal.
+func engineMain() {
+	var s imitator.EngineSettings
+	listen := flag.String("listen", "", "ip:port")
+	flag.StringVar(&s.Role, "role", "decode", "prefill or decode")
+	flag.Int64Var(&s.Pieces, "pieces", 40, "memory")
+	flag.Float64Var(&s.DecodeRate, "rate", 200, "tokens a second of each stream")
+	flag.Parse()
+	engine, err := imitator.NewEngine(s)
+	if err == nil {
+		err = engine.Start(*listen)
+	}
+	waitForSignal(err)
+	_ = engine.Close()
+}
+
+// plainMain runs a fake plain service until a signal.
+func plainMain() {
+	listen := flag.String("listen", "", "ip:port")
+	flag.Parse()
+	service := imitator.NewPlain(time.Second)
+	waitForSignal(service.Start(*listen))
+	_ = service.Close()
+}
+
+func waitForSignal(err error) {
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	<-signals
+}
+
+// callerMain sends one HTTP request and prints what a caller sees: the status,
+// the headers that matter and the body.
+func callerMain() {
+	var headers headerList
+	flag.Var(&headers, "h", "header as Name: value, may be repeated")
+	method := flag.String("m", http.MethodPost, "method")
+	body := flag.String("d", "", "body")
+	size := flag.Int("size", 0, "send a body of this many bytes instead")
+	first := flag.Bool("first", false, "leave after the first line of the body")
+	flag.Parse()
+	if *size > 0 {
+		*body = strings.Repeat("x", *size)
+	}
+	request, err := http.NewRequestWithContext(context.Background(), *method, flag.Arg(0), strings.NewReader(*body))
+	fail(err)
+	for _, h := range headers {
+		name, value, _ := strings.Cut(h, ":")
+		request.Header.Set(name, strings.TrimSpace(value))
+	}
+	client := &http.Client{Transport: &http.Transport{
+		DialContext: (&net.Dialer{Timeout: time.Second}).DialContext,
+	}}
+	response, err := client.Do(request)
+	fail(err)
+	defer response.Body.Close()
+	fmt.Println("status", response.StatusCode)
+	for _, name := range []string{"Content-Type", "Damask-Outcome"} {
+		if value := response.Header.Get(name); value != "" {
+			fmt.Printf("%s: %s\n", name, value)
+		}
+	}
+	for _, name := range []string{"Damask-Request", "Retry-After"} {
+		if response.Header.Get(name) != "" {
+			fmt.Printf("%s: present\n", name)
+		}
+	}
+	if *first {
+		line, err := bufio.NewReader(response.Body).ReadString('\n')
+		fail(err)
+		fmt.Print(line)
+
+		return
+	}
+	fmt.Println(strings.TrimSuffix(readAll(response), "\n"))
+}
+
+type headerList []string
+
+// String implements flag.Value.
+func (h *headerList) String() string { return strings.Join(*h, ", ") }
+
+// Set implements flag.Value.
+func (h *headerList) Set(text string) error {
+	*h = append(*h, text)
+
+	return nil
+}
+
+func fail(err error) {
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "caller:", err)
+		os.Exit(1)
+	}
+}
+
+func readAll(response *http.Response) string {
+	var b bytes.Buffer
+	if _, err := io.Copy(&b, response.Body); err != nil {
+		return b.String() + "\n[body cut off: " + err.Error() + "]"
+	}
+
+	return b.String()
+}
--- a/internal/attendant/attendant.go
+++ b/internal/attendant/attendant.go
@@ -128,19 +128,32 @@
 // or Close, or Leave has completed. Nothing is granted before the backend
 // server is reconciled.
 func (a *Attendant) Start(ctx context.Context) error {
+	// The listener comes first, because the registration names its address;
+	// streams wait until the rest is there.
+	started := make(chan struct{})
+	serve := func(ctx context.Context, s *messenger.Stream) {
+		select {
+		case <-started:
+			a.serve(ctx, s)
+		case <-ctx.Done():
+		}
+	}
+	listener, err := messenger.Listen(a.settings.Listen, serve) //nolint:contextcheck // the listener ends with Close
+	if err != nil {
+		return errors.Newf("start agent: %w", err)
+	}
+	a.listener = listener
 	control, err := a.connect(a.deps.Timer)
 	if err != nil {
+		_ = listener.Close()
+
 		return err
 	}
 	a.control = control
 	a.keeper.blocked = func(digest string, now time.Time) bool {
 		return control.View().Blocked(digest, now) != nil
 	}
-	listener, err := messenger.Listen(a.settings.Listen, a.serve) //nolint:contextcheck // the listener ends with Close
-	if err != nil {
-		return errors.Newf("start agent: %w", err)
-	}
-	a.listener = listener
+	close(started)
 	stops := []func(){
 		a.deps.Timer.Every(tickInterval, a.tick),
 		a.deps.Timer.Every(loadInterval, a.sendLoad),
--- a/internal/configurer/agent.go
+++ b/internal/configurer/agent.go
@@ -16,6 +16,7 @@
 	Service   string
 	Phase     string        // prefill, decode or plain
 	Pieces    int64         // memory pieces, or call slots of a plain service
+	Hosts     string        // file with the platform's host list, or empty
 	Drain     time.Duration // waits this long for work in flight
 }
 
@@ -28,6 +29,7 @@
 		Option{"service", "", "name of the service that the backend server belongs to"},
 		Option{"phase", "", "work of the backend server: prefill, decode or plain"},
 		Option{"pieces", "", "memory of the engine in pieces of 2048 tokens, or calls that a plain service runs at once"},
+		Option{"hosts", "", "file with the platform's list of hosts, for the agent to learn that its host leaves"},
 		Option{"drain", "5m", "longest wait for work in flight at a shutdown"},
 	)
 }
@@ -42,6 +44,7 @@
 		Service: r.word("service"),
 		Phase:   r.choice("phase", "prefill", "decode", "plain"),
 		Pieces:  r.integer("pieces", 1, maxPieces),
+		Hosts:   r.text("hosts"),
 		Drain:   r.duration("drain", 0, maxDrain),
 	}
 	a.Advertise = r.advertise(a.Listen)
--- a/internal/controller/server.go
+++ b/internal/controller/server.go
@@ -135,7 +135,10 @@
 
 // feed sends an update at each change and a pulse at each interval.
 func (c *Controller) feed(ctx context.Context, s *messenger.Stream, sent uint64) {
+	// The first pulse follows the first update at once: a subscriber refuses
+	// bookings until it knows that this host hears from a majority.
 	pulse := make(chan struct{}, 1)
+	pulse <- struct{}{}
 	stop := c.s.Timer.Every(c.s.Pulse, func(time.Time) {
 		select {
 		case pulse <- struct{}{}:
@@ -155,7 +158,7 @@
 		case <-ctx.Done():
 		case <-bell:
 		case <-pulse:
-			if c.sendPulse(s) != nil {
+			if c.sendPulse(s, sent) != nil {
 				return
 			}
 		}
@@ -188,10 +191,13 @@
 	return max(sent, update.GetIndex()), nil
 }
 
-func (c *Controller) sendPulse(s *messenger.Stream) error {
+// sendPulse names the index that the subscriber has after the updates sent, or
+// the one of this host if that is behind. An index that this host has reached
+// but not yet sent would look like a subscriber that misses updates.
+func (c *Controller) sendPulse(s *messenger.Stream, sent uint64) error {
 	p := &wire.Pulse{Lease: neverHeard}
 	c.do(func() {
-		p.Index = c.state.Index()
+		p.Index = min(c.state.Index(), sent)
 		if lease := c.core.Lease(c.s.Timer.Now()); lease >= 0 {
 			p.Lease = min(lease.Milliseconds(), neverHeard)
 		}
