--- a/internal/attendant/attendant.go
+++ b/internal/attendant/attendant.go
@@ -73,6 +73,7 @@
 	crashes    int
 	orders     map[string]string // state of orders that run, for the dump
 	ending     bool
+	closed     bool // nothing new is started
 	sweeping   bool
 	drained    func() // stops the wait for the end
 }
@@ -127,19 +128,32 @@
 // or Close, or Leave has completed. Nothing is granted before the backend
 // server is reconciled.
 func (a *Attendant) Start(ctx context.Context) error {
+	// The listener comes first, because the registration names its address;
+	// streams wait until the rest is there.
+	started := make(chan struct{})
+	serve := func(ctx context.Context, s *messenger.Stream) {
+		select {
+		case <-started:
+			a.serve(ctx, s)
+		case <-ctx.Done():
+		}
+	}
+	listener, err := messenger.Listen(a.settings.Listen, serve) //nolint:contextcheck // the listener ends with Close
+	if err != nil {
+		return errors.Newf("start agent: %w", err)
+	}
+	a.listener = listener
 	control, err := a.connect(a.deps.Timer)
 	if err != nil {
+		_ = listener.Close()
+
 		return err
 	}
 	a.control = control
 	a.keeper.blocked = func(digest string, now time.Time) bool {
 		return control.View().Blocked(digest, now) != nil
 	}
-	listener, err := messenger.Listen(a.settings.Listen, a.serve) //nolint:contextcheck // the listener ends with Close
-	if err != nil {
-		return errors.Newf("start agent: %w", err)
-	}
-	a.listener = listener
+	close(started)
 	stops := []func(){
 		a.deps.Timer.Every(tickInterval, a.tick),
 		a.deps.Timer.Every(loadInterval, a.sendLoad),
@@ -235,6 +249,9 @@
 		for _, stop := range a.stops {
 			stop()
 		}
+		a.mu.Lock()
+		a.closed = true
+		a.mu.Unlock()
 		a.cancel()
 		if a.listener != nil {
 			_ = a.listener.Close()
@@ -278,7 +295,7 @@
 func (a *Attendant) startSweep(time.Time) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if a.sweeping || a.ctx.Err() != nil {
+	if a.sweeping || a.closed {
 		return
 	}
 	a.sweeping = true
