--- a/internal/dispatcher/dispatcher_test.go
+++ b/internal/dispatcher/dispatcher_test.go
@@ -169,3 +169,15 @@
 		t.Error("got a machine that waits, want it over")
 	}
 }
+
+// BenchmarkModelRequest measures the decisions of one request with 100 chunks.
+func BenchmarkModelRequest(b *testing.B) {
+	b.ReportAllocs()
+	for range b.N {
+		g := newRig(model()).decoding()
+		for seq := range int64(100) {
+			g.step(dispatcher.Arrived{ID: "r.1", Seq: seq, Text: "x", Tokens: 1})
+		}
+		g.done("r.1", 100)
+	}
+}
--- a/internal/listener/listener_test.go
+++ b/internal/listener/listener_test.go
@@ -82,7 +82,7 @@
 }
 
 // wireup opens a raw connection.
-func wireup(t *testing.T, l *listener.Listener) (net.Conn, *bufio.Reader) {
+func wireup(t testing.TB, l *listener.Listener) (net.Conn, *bufio.Reader) {
 	t.Helper()
 	conn, err := net.Dial("tcp", l.Addr())
 	if err != nil {
