Settle a claim at once when the agent ended the call itself

The entry waited up to the service's timeout for a confirmation that never comes after a crash or a failure, and a duplicate was told that the call still runs. Billed traffic is now counted at the dispatch, not at each ask.

--- a/internal/dispatcher/dump.go
+++ b/internal/dispatcher/dump.go
@@ -1,8 +1,12 @@
 package dispatcher
 
+// phaseSettle is the time after the final answer of a claimed call whose end
+// isn't known yet.
+const phaseSettle = "settle"
+
 // Status describes a request for a state dump.
 type Status struct {
-	Phase  string // claim, reserve, queue, prefill, transfer, decode, ask, run, over
+	Phase  string // claim, reserve, queue, prefill, transfer, decode, ask, run, settle, over
 	Server string // where the work is or waits, may be empty
 	Waits  string // what the request waits for
 	Chunks int64  // emitted
@@ -23,6 +27,8 @@
 
 func (m *Machine) phase() string {
 	switch {
+	case m.over && m.claim.waiting:
+		return phaseSettle
 	case m.over:
 		return "over"
 	case m.claim.waiting:
@@ -48,6 +54,8 @@
 	switch m.phase() {
 	case "over":
 		return "nothing"
+	case phaseSettle:
+		return "the end of the claimed call"
 	case "claim":
 		return "the replicated log"
 	case "ask":
--- a/internal/dispatcher/plain.go
+++ b/internal/dispatcher/plain.go
@@ -127,12 +127,27 @@
 		m.settled(wire.Stage_STAGE_DONE, o.Answer)
 	case len(m.unsure) == 0:
 		m.settled(wire.Stage_STAGE_FREE, nil)
+	case !m.awaited():
+		// The agent ended the call itself and has nothing more to say.
+		m.settled(wire.Stage_STAGE_LOST, nil)
 	default:
 		m.claim.waiting = true
 		m.claim.until = m.now.Add(m.limits.Linger)
 	}
 }
 
+// awaited reports whether the agent will still confirm what became of a
+// dispatch.
+func (m *Machine) awaited() bool {
+	for id := range m.unsure {
+		if _, ok := m.open[id]; ok {
+			return true
+		}
+	}
+
+	return false
+}
+
 func (m *Machine) settled(stage wire.Stage, answer *wire.Stored) {
 	m.claim.waiting = false
 	m.claim.held = false
--- a/internal/dispatcher/plain_test.go
+++ b/internal/dispatcher/plain_test.go
@@ -73,11 +73,9 @@
 		}, want{result: done, status: 201, run: 1}, wire.Stage_STAGE_DONE},
 		"server fails": {func(g *rig) {
 			g.running().end("r.1", wire.Status_STATUS_FAILED, 0)
-			g.wait(10 * time.Second)
 		}, want{result: failed, status: 502, run: 1}, wire.Stage_STAGE_LOST},
 		"server crashes": {func(g *rig) {
 			g.running().end("r.1", wire.Status_STATUS_CRASHED, 0)
-			g.wait(10 * time.Second)
 		}, want{result: failed, status: 502, run: 1}, wire.Stage_STAGE_LOST},
 		"agent forgot the attempt": {func(g *rig) {
 			g.running().step(dispatcher.Refused{ID: "r.1", Reason: "epoch"})
--- a/internal/router/dump.go
+++ b/internal/router/dump.go
@@ -85,11 +85,15 @@
 	if !f.first.IsZero() {
 		late = f.first.Sub(f.began)
 	}
+	target := milliseconds(f.rank.GetFirst())
+	if target <= 0 {
+		target = late // without a target nothing is late
+	}
 
 	return RequestState{
 		ID: f.request.ID, Service: f.request.Service, Caller: f.request.Caller, Rank: f.request.Rank,
 		Phase: s.Phase, Server: s.Server, Waits: s.Waits, Age: age.Milliseconds(),
-		Late: late.Milliseconds() - f.rank.GetFirst(), Chunks: s.Chunks, Open: s.Open,
+		Late: (late - target).Milliseconds(), Chunks: s.Chunks, Open: s.Open,
 	}
 }
 
--- a/internal/router/fleet.go
+++ b/internal/router/fleet.go
@@ -189,13 +189,12 @@
 	f.picker.Succeed(server)
 }
 
-// isBilled reports whether traffic to a server crosses regions.
-func (f *fleet) isBilled(server string) bool {
+// regionOf returns the region of a server, empty if it is unknown.
+func (f *fleet) regionOf(server string) string {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	s := f.server(server)
 
-	return s != nil && s.GetRegion() != f.region
+	return f.server(server).GetRegion()
 }
 
 // policy is the dispatcher's port to the fleet, with the regions of the rule
--- a/internal/router/flight.go
+++ b/internal/router/flight.go
@@ -58,9 +58,6 @@
 func (f *flight) perform(now time.Time, action dispatcher.Action) {
 	switch a := action.(type) {
 	case dispatcher.Ask:
-		if a.Phase == wire.Phase_PHASE_PREFILL && f.r.fleet.isBilled(a.Server) {
-			f.r.meter.billed(f, len(f.request.Prompt))
-		}
 		f.newAttempt(a.ID, a.Server).send(frame{call: f.ask(now, a)})
 	case dispatcher.Withdraw:
 		if attempt := f.attempts[a.ID]; attempt != nil {
@@ -86,11 +83,31 @@
 		id, c := f.dispatch(action)
 		if attempt := f.attempts[id]; attempt != nil {
 			f.server = attempt.server
+			f.bill(action)
 			attempt.send(c)
 		}
 	}
 }
 
+// bill counts what a dispatch sends across regions.
+func (f *flight) bill(action dispatcher.Action) {
+	fleet, meter := f.r.fleet, f.r.meter
+	switch a := action.(type) {
+	case dispatcher.Prefill:
+		if fleet.regionOf(a.Server) != f.r.settings.Region {
+			meter.billed(f, "prompt", len(f.request.Prompt))
+		}
+	case dispatcher.Run:
+		if fleet.regionOf(a.Server) != f.r.settings.Region {
+			meter.billed(f, "body", len(f.request.Body))
+		}
+	case dispatcher.Import:
+		if fleet.regionOf(a.Server) != fleet.regionOf(a.From) {
+			meter.billedCache(f, a.Tokens)
+		}
+	}
+}
+
 func (f *flight) emitted(now time.Time, a dispatcher.Emit) {
 	if f.first.IsZero() {
 		f.first = now
--- a/internal/router/meter.go
+++ b/internal/router/meter.go
@@ -23,6 +23,7 @@
 	prefill  *prometheus.CounterVec
 	output   *prometheus.CounterVec
 	crossing *prometheus.CounterVec
+	cache    *prometheus.CounterVec
 	claims   *prometheus.CounterVec
 	sessions prometheus.Gauge
 	restarts prometheus.Counter
@@ -63,7 +64,8 @@
 		retries:  counter("retries_total", "Work started again elsewhere, by the phase that failed.", "phase"),
 		prefill:  counter("prefill_tokens_total", "Prompt tokens computed; wasted ones led to no answer.", "use"),
 		output:   counter("output_tokens_total", "Tokens passed on to callers."),
-		crossing: counter("billed_prompt_bytes_total", "Prompt bytes offered to servers of other regions."),
+		crossing: counter("billed_bytes_total", "Bytes sent to servers of other regions.", "kind"),
+		cache:    counter("billed_cache_tokens_total", "Tokens of KV cache imported across regions."),
 		claims:   counter("claims_total", "Claims of non-idempotent calls by result.", "result"),
 		flying: prometheus.NewGaugeVec(prometheus.GaugeOpts{
 			Namespace: namespace, Name: "requests_in_flight", Help: "Requests without a final outcome.",
@@ -115,8 +117,12 @@
 	m.retries.WithLabelValues(m.labels(f, phases[a.Phase])...).Inc()
 }
 
-func (m *meter) billed(f *flight, bytes int) {
-	m.crossing.WithLabelValues(m.labels(f)...).Add(float64(bytes))
+func (m *meter) billed(f *flight, kind string, bytes int) {
+	m.crossing.WithLabelValues(m.labels(f, kind)...).Add(float64(bytes))
+}
+
+func (m *meter) billedCache(f *flight, tokens int64) {
+	m.cache.WithLabelValues(m.labels(f)...).Add(float64(tokens))
 }
 
 func (m *meter) claimed(f *flight, c dispatcher.Claimed) {
--- a/internal/router/rig_test.go
+++ b/internal/router/rig_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/phuslu/log"
+	"github.com/prometheus/client_golang/prometheus"
 
 	"github.com/damasklever/damasklever/internal/attendant"
 	"github.com/damasklever/damasklever/internal/dispatcher"
@@ -148,6 +149,29 @@
 	engines map[string]*imitator.Engine
 	plains  map[string]*imitator.Plain
 	agents  map[string]*attendant.Attendant
+	reg     *prometheus.Registry
+	lines   lines
+}
+
+// lines collects a log.
+type lines struct {
+	mu   sync.Mutex
+	text strings.Builder
+}
+
+// Write implements io.Writer.
+func (l *lines) Write(b []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+
+	return l.text.Write(b)
+}
+
+func (l *lines) String() string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+
+	return l.text.String()
 }
 
 func quiet() *log.Logger {
@@ -161,6 +185,7 @@
 	s := &site{
 		t: t, control: newControl(), clock: timer.New(), engines: make(map[string]*imitator.Engine),
 		plains: make(map[string]*imitator.Plain), agents: make(map[string]*attendant.Attendant),
+		reg: prometheus.NewRegistry(),
 	}
 	t.Cleanup(s.clock.Close)
 	s.control.view.services = []*wire.Service{
@@ -184,7 +209,10 @@
 	var err error
 	s.entry, err = router.New(router.Settings{
 		Name: "e1", Region: "kochi", Listen: "127.0.0.1:0", Limits: limits, Drain: patience,
-	}, router.Deps{Timer: s.clock, Log: quiet(), Control: s.control})
+	}, router.Deps{
+		Timer: s.clock, Control: s.control, Registry: s.reg,
+		Log: &log.Logger{Level: log.InfoLevel, Writer: &log.IOWriter{Writer: &s.lines}},
+	})
 	if err != nil {
 		s.t.Fatal(err)
 	}
--- a/internal/router/router_test.go
+++ b/internal/router/router_test.go
@@ -229,6 +229,32 @@
 	})
 }
 
+// Guards against a refusal, retry or blocked request that leaves no line with
+// its id, and against a caller's words in the labels of metrics.
+func TestRecords(t *testing.T) {
+	s := newSite(t, "s1", "s2")
+	refused := s.call("POST", "/v1/completions", `{"model":"madeup","prompt":"a"}`)
+	retried := s.call("GET", "/s/desk/seats", "", imitator.HeaderFault, "lost")
+	s.control.set(func(v *view) { v.blocked = map[string]bool{"*": true} })
+	blocked := s.call("GET", "/s/desk/seats", "")
+	for message, r := range map[string]reply{"refused": refused, "retry": retried, "blocked": blocked} {
+		found := false
+		for line := range strings.SplitSeq(s.lines.String(), "\n") {
+			found = found || strings.Contains(line, r.header.Get("Damask-Request")) && strings.Contains(line, `"`+message+`"`)
+		}
+		if !found {
+			t.Errorf("log: got no line %q of %s, want one in %s", message, r.header.Get("Damask-Request"), &s.lines)
+		}
+	}
+	families, err := s.reg.Gather()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if got := fmt.Sprint(families); strings.Contains(got, "madeup") || !strings.Contains(got, "damask_retries_total") {
+		t.Errorf("metrics: got %s, want retries and no words of the caller", got)
+	}
+}
+
 // Guards against a caller that gets the rank of another.
 func TestRank(t *testing.T) {
 	s := newSite(t, "p1", "d1")
