Give up agents that fall silent

An agent whose host drops packets kept its asks until the deadline of the request, although another server was there. A session without a message for 3.5 s is closed now, which loses its attempts, and an attempt waits at most 1 s for a session.

--- a/internal/router/link.go
+++ b/internal/router/link.go
@@ -21,6 +21,12 @@
 	// the agent is unreachable. By then the lease of 3 s has freed its grants.
 	keepWithdrawals = 10 * time.Second
 	welcomeTimeout  = 3 * time.Second
+	// silence is the time without a message after which an agent counts as
+	// unreachable. It sends its load each second, so three were lost.
+	silence = 3500 * time.Millisecond
+	// openTimeout bounds the wait of an attempt for a session. A host that drops
+	// packets must not use up the time in which another server could answer.
+	openTimeout = time.Second
 )
 
 // link is the session to one agent, dialled on demand. Its control stream
@@ -38,6 +44,7 @@
 	err      error
 	down     time.Time // since when, zero while up
 	used     time.Time
+	heard    time.Time // last message of the agent
 	streams  int
 	pending  map[string]withdrawal
 	repeated bool // a repetition of the withdrawals is scheduled
@@ -53,6 +60,8 @@
 
 // open starts a stream for an attempt.
 func (l *link) open(ctx context.Context) (*messenger.Stream, error) {
+	ctx, cancel := context.WithTimeout(ctx, openTimeout)
+	defer cancel()
 	session, err := l.ready(ctx)
 	if err != nil {
 		return nil, err
@@ -133,7 +142,7 @@
 		l.r.meter.restarts.Inc()
 	}
 	l.session, l.epoch, l.err = session, epoch, nil
-	l.down, l.failed, l.used = time.Time{}, time.Time{}, now
+	l.down, l.failed, l.used, l.heard = time.Time{}, time.Time{}, now, now
 	l.control = newSender(stream, nil)
 	for id, w := range l.pending {
 		l.control.send(withdrawCall(id, w.epoch))
@@ -197,6 +206,9 @@
 			break
 		}
 		now := l.r.timers.Now()
+		l.mu.Lock()
+		l.heard = now
+		l.mu.Unlock()
 		switch body := reply.GetBody().(type) {
 		case *wire.Reply_Load:
 			l.r.fleet.observe(now, l.name, body.Load)
@@ -268,14 +280,19 @@
 	})
 }
 
-// renew extends the lease, or closes a session that is not used.
+// renew extends the lease, or closes a session that is not used or silent. The
+// attempts of a silent session are lost, so that other servers are asked.
 func (l *link) renew(now time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.session == nil {
 		return
 	}
-	if l.streams == 0 && len(l.pending) == 0 && now.Sub(l.used) > l.r.settings.Idle {
+	silent := now.Sub(l.heard) > silence
+	if silent {
+		l.r.log.Warn().Str("server", l.name).Dur("silence", now.Sub(l.heard)).Msg("agent silent")
+	}
+	if silent || l.streams == 0 && len(l.pending) == 0 && now.Sub(l.used) > l.r.settings.Idle {
 		session := l.session
 		go func() { _ = session.Close() }()
 
--- a/internal/router/link_test.go
+++ b/internal/router/link_test.go
@@ -25,6 +25,7 @@
 	hellos  []*wire.Hello
 	streams []*messenger.Stream
 	ran     *bool // answer to a Withdraw, nil: none
+	mute    bool  // grants nothing and reports no load
 	inner   *messenger.Listener
 }
 
@@ -50,7 +51,7 @@
 			return
 		}
 		a.mu.Lock()
-		epoch, ran := a.epoch, a.ran
+		epoch, ran, mute := a.epoch, a.ran, a.mute
 		if h := call.GetHello(); h != nil {
 			a.hellos = append(a.hellos, h)
 		}
@@ -60,7 +61,14 @@
 			s.Send(&wire.Reply{Body: &wire.Reply_Welcome{Welcome: &wire.Welcome{Server: a.name, Epoch: epoch}}})
 
 			continue
+		case *wire.Call_Renew:
+			if !mute {
+				s.Send(&wire.Reply{Body: &wire.Reply_Load{Load: &wire.Load{Total: 2, Free: 2}}})
+			}
 		case *wire.Call_Ask:
+			if mute {
+				break
+			}
 			s.Send(&wire.Reply{Body: &wire.Reply_Granted{Granted: &wire.Granted{Id: b.Ask.GetId(), Epoch: epoch}}})
 		case *wire.Call_Withdraw:
 			if ran != nil {
@@ -224,6 +232,36 @@
 	return append([]wire.Stage(nil), s.control.settled...)
 }
 
+// Guards against a request that waits for silent agents although another one
+// is there.
+func TestSilentAgents(t *testing.T) {
+	clock := timer.NewManual(time.Unix(1000, 0))
+	agents := []*fakeAgent{newFakeAgent(t, "s1"), newFakeAgent(t, "s2"), newFakeAgent(t, "s3")}
+	for _, a := range agents {
+		a.mute = true
+	}
+	s := newFakeSite(t, clock, nil, agents...)
+	s.control.set(func(v *view) {
+		v.ranks = []*wire.Rank{{Name: "drill"}}
+		v.services = []*wire.Service{{Name: "desk", Kind: wire.Kind_KIND_PLAIN, Timeout: 60_000}}
+	})
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	go func() { _, _ = s.do(ctx, "POST", "/s/desk/book", "x") }()
+	s.await("asks", func() bool { return len(agents[0].calls)+len(agents[1].calls)+len(agents[2].calls) == 2 })
+	for _, a := range agents {
+		a.set(func() { a.mute = len(a.calls) > 0 })
+	}
+	for _, a := range agents {
+		if !a.mute {
+			for range 5 { // far from the deadline of the request
+				clock.Advance(time.Second)
+			}
+			a.next("run", isRun)
+		}
+	}
+}
+
 // Guards against a withdrawal without the epoch of the grant, which a restarted
 // agent would answer as if it had not run the attempt, and against a restart
 // that goes unnoticed.
