Hold the whole path and bad input in golden sessions

Ruled out: running the roles inside the test process; kills and exit statuses would not be real. Ports on 127.0.0.1, because tests that run at the same time took them between choice and use; each session has a loopback host of its own.

--- a/cmd/damasklever/session_test.go
+++ b/cmd/damasklever/session_test.go
@@ -2,14 +2,16 @@
 
 import (
 	"context"
-	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strconv"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -20,24 +22,13 @@
 // Limits of a wait in a session. They only bound a hang; no result depends on
 // how long something took.
 const (
-	waitLimit = 60 * time.Second
+	waitLimit = 20 * time.Second
 	waitPause = 50 * time.Millisecond
 )
 
-// TestMain builds both programs and adds the stand-ins and the caller as
-// commands of the sessions, each of which runs as a process of its own.
+// TestMain adds the stand-ins and the caller as commands of the sessions, each
+// of which runs as a process of its own.
 func TestMain(m *testing.M) {
-	folder, err := os.MkdirTemp("", "damasklever")
-	if err != nil {
-		panic(err)
-	}
-	for _, program := range []string{"damasklever", "damaskctl"} {
-		build := exec.Command("go", "build", "-o", filepath.Join(folder, program), "../"+program)
-		if out, err := build.CombinedOutput(); err != nil && os.Getenv("TESTSCRIPT_COMMAND") == "" {
-			panic(fmt.Sprintf("build %s: %v\n%s", program, err, out))
-		}
-	}
-	programs = folder
 	testscript.Main(m, map[string]func(){
 		"engine": engineMain,
 		"plain":  plainMain,
@@ -45,32 +36,49 @@
 	})
 }
 
-// programs is the folder of the built programs.
-var programs string
+// buildPrograms returns the folder of both programs, newly built.
+func buildPrograms(t *testing.T) string {
+	t.Helper()
+	folder := t.TempDir()
+	for _, program := range []string{"damasklever", "damaskctl"} {
+		build := exec.Command("go", "build", "-o", filepath.Join(folder, program), "../"+program)
+		if out, err := build.CombinedOutput(); err != nil {
+			t.Fatalf("build %s: %v\n%s", program, err, out)
+		}
+	}
+
+	return folder
+}
 
 // Guards the whole path as separate processes: what callers and operators see
 // is held in the golden files.
 func TestSessions(t *testing.T) {
+	programs := buildPrograms(t)
 	testscript.Run(t, testscript.Params{
 		Dir: "testdata/session",
+		// UPDATE=1 writes what was seen into the golden files.
+		UpdateScripts: os.Getenv("UPDATE") != "",
 		Setup: func(env *testscript.Env) error {
 			env.Setenv("PATH", programs+string(os.PathListSeparator)+env.Getenv("PATH"))
 
 			return nil
 		},
 		Cmds: map[string]func(*testscript.TestScript, bool, []string){
-			"ports": ports,
-			"await": await,
-			"exits": exits,
+			"ports":  ports,
+			"await":  await,
+			"exits":  exits,
+			"signal": sendSignal,
 		},
 	})
 }
 
-// ports NAME... sets each variable to a free loopback address. All are kept
-// open until all are chosen, so that they differ.
+// ports NAME... sets each variable to a free address on a random loopback host,
+// which keeps it apart from the ports that other tests use on 127.0.0.1. All
+// are kept open until all are chosen, so that they differ.
 func ports(ts *testscript.TestScript, _ bool, args []string) {
+	host := net.IPv4(127, byte(1+rand.IntN(254)), byte(rand.IntN(256)), 1).String()
 	for _, name := range args {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
+		l, err := net.Listen("tcp", net.JoinHostPort(host, "0"))
 		ts.Check(err)
 		defer l.Close()
 		ts.Setenv(name, l.Addr().String())
@@ -123,3 +131,24 @@
 		ts.Fatalf("exit status: got %d, want %s", got, want)
 	}
 }
+
+var signals = map[string]os.Signal{
+	"TERM": syscall.SIGTERM, "KILL": syscall.SIGKILL, "STOP": syscall.SIGSTOP, "CONT": syscall.SIGCONT,
+}
+
+// sendSignal SIGNAL NAME... signals the background processes that were started
+// with "--name NAME" or listen on that address.
+func sendSignal(ts *testscript.TestScript, _ bool, args []string) {
+	for _, name := range args[1:] {
+		found := false
+		for _, cmd := range ts.BackgroundCmds() {
+			if slices.Contains(cmd.Args, name) {
+				found = true
+				ts.Check(cmd.Process.Signal(signals[args[0]]))
+			}
+		}
+		if !found {
+			ts.Fatalf("no background process has the argument %s", name)
+		}
+	}
+}
--- a/cmd/damasklever/standin_test.go
+++ b/cmd/damasklever/standin_test.go
@@ -11,6 +11,7 @@
 	"net/http"
 	"os"
 	"os/signal"
+	"regexp"
 	"strings"
 	"syscall"
 	"time"
@@ -61,11 +62,15 @@
 	method := flag.String("m", http.MethodPost, "method")
 	body := flag.String("d", "", "body")
 	size := flag.Int("size", 0, "send a body of this many bytes instead")
+	prompt := flag.Int("prompt", 0, "send a completion with a prompt of this many bytes instead")
 	first := flag.Bool("first", false, "leave after the first line of the body")
 	flag.Parse()
 	if *size > 0 {
 		*body = strings.Repeat("x", *size)
 	}
+	if *prompt > 0 {
+		*body = `{"model":"summary","prompt":"` + strings.Repeat("note ", *prompt/5) + `"}`
+	}
 	request, err := http.NewRequestWithContext(context.Background(), *method, flag.Arg(0), strings.NewReader(*body))
 	fail(err)
 	for _, h := range headers {
@@ -92,11 +97,25 @@
 	if *first {
 		line, err := bufio.NewReader(response.Body).ReadString('\n')
 		fail(err)
-		fmt.Print(line)
+		fmt.Print(normal(line))
 
 		return
 	}
-	fmt.Println(strings.TrimSuffix(readAll(response), "\n"))
+	fmt.Println(normal(strings.TrimSuffix(readAll(response), "\n")))
+}
+
+// varying are the parts of an answer that differ from run to run.
+var varying = map[string]*regexp.Regexp{
+	"REQUEST":     regexp.MustCompile(`entry-[0-9]+-[0-9a-z]+-[0-9]+`),
+	"created\":0": regexp.MustCompile(`created":[0-9]+`),
+}
+
+func normal(text string) string {
+	for name, pattern := range varying {
+		text = pattern.ReplaceAllString(text, name)
+	}
+
+	return text
 }
 
 type headerList []string
