Bound retention and keep calls apart

A retention beyond 292 years overflowed and freed the key at once, so the call could run twice; it is now at most 30 days. The same holds for the length of a block.

A call of the client that ended closed the connection it shared, which left the other calls in doubt whether their command was stored. Only a connection that opens no more streams is now replaced.

The history named no author where USER is not set; the name now comes from the system's user.

--- a/cmd/damaskctl/root.go
+++ b/cmd/damaskctl/root.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"os/user"
 	"runtime/debug"
 	"time"
 
@@ -81,12 +82,22 @@
 		},
 		&cli.StringFlag{Name: "id", Usage: "command `ID`, to send a change again"},
 		&cli.StringFlag{
-			Name: "who", Sources: cli.EnvVars("DAMASK_WHO", "USER"), Usage: "`NAME` of the author in the history",
+			Name: "who", Value: username(), Sources: cli.EnvVars("DAMASK_WHO"), Usage: "`NAME` of the author in the history",
 		},
 		&cli.DurationFlag{Name: "timeout", Value: defaultTimeout, Usage: "how long to wait for an answer"},
 	}
 }
 
+// username names the author when no flag does; it may be empty.
+func username() string {
+	u, err := user.Current()
+	if err != nil {
+		return ""
+	}
+
+	return u.Username
+}
+
 func version() string {
 	info, ok := debug.ReadBuildInfo()
 	if !ok {
--- a/internal/registrar/change.go
+++ b/internal/registrar/change.go
@@ -186,7 +186,7 @@
 	case parser.Release:
 		return d.release(e)
 	default:
-		return errors.Newf("unknown verb")
+		return errors.New("the verb is unknown")
 	}
 }
 
@@ -214,13 +214,12 @@
 	if e.GetKind() != parser.Digest {
 		return errors.New("only a digest can be blocked")
 	}
-	hold := defaultBlock
-	if s := e.GetBlock().GetHold(); s != 0 {
-		hold = time.Duration(min(s, int64(maxBlock/time.Second)+1)) * time.Second
-	}
-	if hold <= 0 || hold > maxBlock {
-		return errors.Newf("a block lasts more than nothing and at most %s", maxBlock)
+	b := block{&wire.Block{Digest: e.GetName(), Reason: e.GetBlock().GetReason(), Hold: e.GetBlock().GetHold()}}
+	b.Defaults()
+	if err := b.Validate(); err != nil {
+		return err
 	}
+	hold := time.Duration(b.GetHold()) * time.Second
 	d.put(key{parser.Digest, e.GetName()}, &wire.Block{
 		Digest: e.GetName(), Until: d.now.Add(hold).UnixMilli(), Reason: e.GetBlock().GetReason(),
 	})
--- a/internal/registrar/claim.go
+++ b/internal/registrar/claim.go
@@ -59,8 +59,8 @@
 	if m.GetKey() == "" || m.GetRequest() == "" {
 		return invalid("a claim needs a key and a request")
 	}
-	if m.GetRetention() < 0 {
-		return invalid("the retention of a claim must not be negative")
+	if m.GetRetention() < 0 || m.GetRetention() > int64(maxRetention/time.Second) {
+		return invalid("the retention of a claim must be from 0 to %s", maxRetention)
 	}
 	if h := c.live(now, m.GetKey()); h != nil {
 		if h.GetStage() != wire.Stage_STAGE_FREE {
--- a/internal/registrar/claim_test.go
+++ b/internal/registrar/claim_test.go
@@ -202,3 +202,17 @@
 		t.Errorf("fresh: got %v, want %v", got, want)
 	}
 }
+
+// Guards against a retention that overflows, so that the key is free at once and
+// the call runs twice.
+func TestRetentionIsBounded(t *testing.T) {
+	for _, retention := range []int64{-1, 30*24*3600 + 1, 1 << 62} {
+		m := newMachine(t)
+		res := m.apply(&wire.Command{Id: "x", Body: &wire.Command_Claim{Claim: &wire.Claim{
+			Key: "k", Request: "r", Retention: retention,
+		}}})
+		if got, want := res.GetOutcome(), wire.Outcome_OUTCOME_INVALID; got != want {
+			t.Errorf("retention %d: got %v, want %v", retention, got, want)
+		}
+	}
+}
--- a/internal/registrar/crash.go
+++ b/internal/registrar/crash.go
@@ -5,6 +5,8 @@
 	"slices"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/damasklever/damasklever/internal/parser"
 	"github.com/damasklever/damasklever/internal/wire"
 )
@@ -21,6 +23,21 @@
 	maxBlock     = 30 * 24 * time.Hour
 )
 
+// block is a block as an operator or an agent asks for it.
+type block struct{ *wire.Block }
+
+// Defaults implements model.
+func (b block) Defaults() { fill(&b.Hold, int64(defaultBlock/time.Second)) }
+
+// Validate implements model.
+func (b block) Validate() error {
+	if b.GetHold() < 0 || b.GetHold() > int64(maxBlock/time.Second) {
+		return errors.Newf("a digest is blocked for at least 1s and at most %s", maxBlock)
+	}
+
+	return nil
+}
+
 // crashes counts crashes of servers by the digests that may have caused them.
 type crashes struct {
 	byID  map[string]*wire.Crash
@@ -75,9 +92,12 @@
 	if m.GetCrash() == "" {
 		return invalid("the crash has no id")
 	}
-	if m.GetHold() < 0 || m.GetHold() > int64(maxBlock/time.Second) {
-		return invalid("a digest can be blocked for at most %s", maxBlock)
+	limits := block{&wire.Block{Hold: m.GetHold()}}
+	limits.Defaults()
+	if err := limits.Validate(); err != nil {
+		return invalid("%w", err)
 	}
+	hold := time.Duration(limits.GetHold()) * time.Second
 	if r.crashes.byID[m.GetCrash()] != nil {
 		return done("the crash was counted before")
 	}
@@ -93,7 +113,7 @@
 		}
 	}
 	for _, d := range blocked {
-		r.blockSuspect(index, now, d, m)
+		r.blockSuspect(index, now.Add(hold), d, m.GetServer())
 	}
 	for _, d := range blocked {
 		for _, c := range slices.Clone(r.crashes.suspects[d]) {
@@ -104,13 +124,9 @@
 	return done("%d digests are blocked by this crash", len(blocked))
 }
 
-func (r *Registrar) blockSuspect(index uint64, now time.Time, digest string, m *wire.Blame) {
-	hold := defaultBlock
-	if m.GetHold() > 0 {
-		hold = time.Duration(m.GetHold()) * time.Second
-	}
+func (r *Registrar) blockSuspect(index uint64, until time.Time, digest, server string) {
 	b := &wire.Block{
-		Digest: digest, Until: now.Add(hold).UnixMilli(), Reason: "crashed server " + m.GetServer(),
+		Digest: digest, Until: until.UnixMilli(), Reason: "crashed server " + server,
 		Crashes: int32(len(r.crashes.suspects[digest])),
 	}
 	if old := r.blockOf(digest); old != nil {
--- a/internal/registrar/update_test.go
+++ b/internal/registrar/update_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	"google.golang.org/protobuf/proto"
 	"pgregory.net/rapid"
 
 	"github.com/damasklever/damasklever/internal/registrar"
@@ -170,6 +171,44 @@
 	})
 }
 
+// Guards against a command that stops every control host at once, and against
+// replicas that differ after it.
+func FuzzApply(f *testing.F) {
+	for _, cmd := range []*wire.Command{
+		change(f, "x", "drain server s1; order server s1 load m; block digest q for 1h"),
+		{Id: "x", Body: &wire.Command_Change{Change: &wire.Change{Edits: []*wire.Edit{{Verb: "set", Kind: "rank", Name: "a"}}}}},
+		{Id: "x", Body: &wire.Command_Claim{Claim: &wire.Claim{Key: "k", Request: "r", Retention: 1 << 62}}},
+		{Id: "x", Body: &wire.Command_Settle{Settle: &wire.Settle{Key: "k", Request: "r", Stage: 2}}},
+		{Id: "x", Body: &wire.Command_Blame{Blame: &wire.Blame{Crash: "c", Digests: []string{"p"}, Hold: 1 << 62}}},
+		{Id: "x", Body: &wire.Command_Register{Register: registration("s1", 2, true)}},
+	} {
+		data, err := proto.Marshal(cmd)
+		if err != nil {
+			f.Fatal(err)
+		}
+		f.Add(data)
+	}
+	f.Fuzz(func(t *testing.T, data []byte) {
+		cmd := &wire.Command{}
+		if proto.Unmarshal(data, cmd) != nil {
+			return
+		}
+		one, two := newMachine(t), newMachine(t)
+		for _, m := range []*machine{one, two} {
+			m.must(base)
+			m.register("s1", 1, false)
+			m.claim("k", "d", "r")
+		}
+		two.restart()
+		if got, want := one.apply(cmd).String(), two.apply(cmd).String(); got != want {
+			t.Errorf("result: got %s, want %s", got, want)
+		}
+		if one.state() != two.state() {
+			t.Error("states differ")
+		}
+	})
+}
+
 const fleet = 12_000
 
 func newFleet(b *testing.B) *machine {
--- a/internal/subscriber/client.go
+++ b/internal/subscriber/client.go
@@ -238,36 +238,48 @@
 func (c *Client) exchange(
 	ctx context.Context, addr string, req *wire.Request, state *atomic.Int32,
 ) (*wire.Response, error) {
-	s, err := c.connect(ctx, addr)
+	stream, err := c.open(ctx, addr)
 	if err != nil {
 		return nil, err
 	}
-	stream, err := s.Open(ctx)
-	if err != nil {
-		c.forget(addr, s)
-
-		return nil, errors.Newf("open stream to %s: %w", addr, err)
-	}
 	defer func() { _ = stream.Close() }()
 	defer context.AfterFunc(ctx, func() { _ = stream.Close() })()
 	if !state.CompareAndSwap(idle, sending) {
 		return nil, errors.Newf("send to %s: %w", addr, context.Cause(ctx))
 	}
 	if err := stream.Send(req); err != nil {
-		c.forget(addr, s)
-
 		return nil, errors.Newf("send to %s: %w", addr, err)
 	}
 	response := &wire.Response{}
 	if err := stream.Recv(response); err != nil {
-		c.forget(addr, s)
-
 		return nil, errors.Newf("answer of %s: %w", addr, err)
 	}
 
 	return response, nil
 }
 
+// open opens a stream on the session that the calls share. A session that broke
+// since the last call is replaced. Nothing else closes a session: a call that fails
+// or ends must not break the others.
+func (c *Client) open(ctx context.Context, addr string) (Stream, error) {
+	for again := false; ; again = true {
+		s, err := c.connect(ctx, addr)
+		if err != nil {
+			return nil, err
+		}
+		stream, err := s.Open(ctx)
+		if err == nil {
+			return stream, nil
+		}
+		if ctx.Err() == nil {
+			c.forget(addr, s)
+		}
+		if again || ctx.Err() != nil {
+			return nil, errors.Newf("open stream to %s: %w", addr, err)
+		}
+	}
+}
+
 // connect returns the session with a host, which several calls share.
 func (c *Client) connect(ctx context.Context, addr string) (Session, error) {
 	c.mu.Lock()
--- a/internal/subscriber/client_test.go
+++ b/internal/subscriber/client_test.go
@@ -190,3 +190,69 @@
 		t.Errorf("got %v, want a ProposeError of a command that may have been stored", err)
 	}
 }
+
+// Guards against a caller that gives up and thereby breaks the calls of others on
+// the same connection, whose outcome would then be unknown.
+func TestCallsDoNotBreakEachOther(t *testing.T) { synctest.Test(t, testCallsDoNotBreakEachOther) }
+
+func testCallsDoNotBreakEachOther(t *testing.T) {
+	c := newControl()
+	release := make(chan struct{})
+	c.command = func(addr string, cmd *wire.Command) *wire.Result {
+		if addr != "a:1" {
+			return result(wire.Outcome_OUTCOME_REFUSED, 0)
+		}
+		if cmd.GetId() == "two" {
+			<-release
+		}
+
+		return map[string]*wire.Result{"two": result(wire.Outcome_OUTCOME_DONE, 7)}[cmd.GetId()]
+	}
+	client, err := subscriber.NewClient(settings(c, "a:1", "b:1"), timer.NewManual(begin))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer client.Close()
+	var res *wire.Result
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		res, _ = client.Propose(t.Context(), &wire.Command{Id: "two"})
+	}()
+	ctx, cancel := context.WithCancel(t.Context())
+	go func() { _, _ = client.Propose(ctx, &wire.Command{Id: "one"}) }()
+	synctest.Wait()
+	cancel()
+	synctest.Wait()
+	close(release)
+	<-done
+	if got, want := res.GetOutcome(), wire.Outcome_OUTCOME_DONE; got != want {
+		t.Errorf("outcome: got %v, want %v", got, want)
+	}
+	if got, want := len(c.dials), 1; got != want {
+		t.Errorf("connections: got %d, want %d", got, want)
+	}
+}
+
+// Guards against a call that fails because the connection broke since the last
+// one.
+func TestBrokenSessionIsReplaced(t *testing.T) {
+	c := newControl()
+	c.command = func(string, *wire.Command) *wire.Result { return result(wire.Outcome_OUTCOME_DONE, 7) }
+	client, err := subscriber.NewClient(settings(c, "a:1"), timer.NewManual(begin))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer client.Close()
+	for range 2 {
+		if _, err := client.Propose(t.Context(), &wire.Command{Id: "x"}); err != nil {
+			t.Fatal(err)
+		}
+		c.mu.Lock()
+		c.broken++ // sessions opened until now
+		c.mu.Unlock()
+	}
+	if got, want := len(c.dials), 2; got != want {
+		t.Errorf("connections: got %d, want %d", got, want)
+	}
+}
--- a/internal/subscriber/fake_test.go
+++ b/internal/subscriber/fake_test.go
@@ -65,6 +65,7 @@
 	mu      sync.Mutex
 	down    map[string]bool
 	dials   []string
+	broken  int                                             // the first sessions that no longer open streams
 	command func(addr string, c *wire.Command) *wire.Result // nil result: no answer
 	query   func(addr string) *wire.Table
 	seats   chan *seat
@@ -104,17 +105,24 @@
 		return nil, errors.New("connection refused")
 	}
 
-	return &fakeSession{c: c, addr: addr}, nil
+	return &fakeSession{c: c, addr: addr, serial: len(c.dials)}, nil
 }
 
 type fakeSession struct {
-	c    *control
-	addr string
-	mu   sync.Mutex
-	open []*pipe
+	c      *control
+	addr   string
+	serial int
+	mu     sync.Mutex
+	open   []*pipe
 }
 
 func (s *fakeSession) Open(context.Context) (subscriber.Stream, error) {
+	s.c.mu.Lock()
+	down := s.c.down[s.addr] || s.serial <= s.c.broken
+	s.c.mu.Unlock()
+	if down {
+		return nil, errors.New("session is closed")
+	}
 	a, b := newPipe(s.c.count)
 	s.mu.Lock()
 	s.open = append(s.open, a)
