Bound what is kept of a change and ask a live host first

The history and the marks of results kept the whole text of a change, up to 4 MiB for each of 8,192 changes; the history now keeps 4 KiB and the mark is a hash. After a subscriber leaves a host, its next command goes to the host it moved to: before, the first command waited for the partitioned host and its outcome was in doubt for that time. Both tests fail without the change.

--- a/internal/registrar/change.go
+++ b/internal/registrar/change.go
@@ -15,6 +15,8 @@
 const (
 	// maxHistory covers a day of changes at the design size.
 	maxHistory = 8_192
+	// maxTextBytes bounds the text of a change in the history.
+	maxTextBytes = 4_096
 	// maxEdits bounds the work of one command.
 	maxEdits = 10_000
 	// AnyRevision is the Expect of a command that takes any revision.
@@ -32,7 +34,7 @@
 	r.visible = index
 	r.history = append(r.history, &wire.Revised{
 		Revision: r.revision, Index: index, Id: cmd.GetId(), Who: cmd.GetWho(),
-		Time: now.UnixMilli(), Text: cmd.GetChange().GetText(),
+		Time: now.UnixMilli(), Text: shorten(cmd.GetChange().GetText()),
 	})
 	if len(r.history) > maxHistory {
 		r.history = slices.Clone(r.history[maxHistory/2:])
@@ -41,6 +43,14 @@
 	return res
 }
 
+func shorten(text string) string {
+	if len(text) <= maxTextBytes {
+		return text
+	}
+
+	return strings.ToValidUTF8(text[:maxTextBytes], "") + " ..."
+}
+
 // prepare makes the edits on a draft. The draft is nil if one of them failed.
 func (r *Registrar) prepare(index uint64, now time.Time, cmd *wire.Command) (*draft, *wire.Result) {
 	if res := r.expect(cmd); res != nil {
--- a/internal/registrar/command.go
+++ b/internal/registrar/command.go
@@ -6,6 +6,8 @@
 	"strings"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/damasklever/damasklever/internal/wire"
 )
 
@@ -54,9 +56,15 @@
 	return nil
 }
 
-// mark tells commands apart that carry the same id by mistake. It is built from
-// fields and not from the encoding, which may differ between versions.
+// mark tells commands apart that carry the same id by mistake. It is a hash, as a
+// change can be megabytes long and its result is kept for days.
 func mark(cmd *wire.Command) string {
+	return strconv.FormatUint(xxhash.Sum64String(describe(cmd)), 16)
+}
+
+// describe is built from fields and not from the encoding, which may differ
+// between versions.
+func describe(cmd *wire.Command) string {
 	switch body := cmd.GetBody().(type) {
 	case *wire.Command_Change:
 		var b strings.Builder
--- a/internal/registrar/query_test.go
+++ b/internal/registrar/query_test.go
@@ -67,3 +67,16 @@
 		})
 	}
 }
+
+// Guards against a history that grows with the size of applied files, and against
+// text that cannot be encoded because it was cut within a character.
+func TestHistoryTextIsBounded(t *testing.T) {
+	m := newMachine(t)
+	cmd := change(t, "long", "set rank a")
+	cmd.GetChange().Text = "x" + strings.Repeat("ä", 1<<20)
+	m.apply(cmd)
+	if got, limit := len(m.state()), 8_192; got > limit {
+		t.Errorf("snapshot: got %d bytes, want at most %d", got, limit)
+	}
+	m.restart()
+}
--- a/internal/subscriber/client.go
+++ b/internal/subscriber/client.go
@@ -186,9 +186,16 @@
 	}
 }
 
-// Prefer sets the host that is asked first.
-func (c *Client) Prefer(addr string) { c.keep(addr) }
+// replace makes another host the first to be asked, if it is the old one now.
+func (c *Client) replace(old, addr string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.prefer == old {
+		c.prefer = addr
+	}
+}
 
+// keep makes a host the first to be asked.
 func (c *Client) keep(addr string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/subscriber/subscriber.go
+++ b/internal/subscriber/subscriber.go
@@ -229,6 +229,8 @@
 		return
 	}
 	s.host = (s.host + 1) % len(s.s.Hosts)
+	// Commands must not go first to the host that was just given up.
+	s.client.replace(l.addr, s.s.Hosts[s.host])
 	wait := s.wait.wait()
 	s.s.Log.Warn().Str("host", l.addr).Str("reason", reason).Dur("wait", wait).Msg("control host left")
 	s.stops = append(s.stops[:1], s.t.After(wait, func(time.Time) {
--- a/internal/subscriber/subscriber_test.go
+++ b/internal/subscriber/subscriber_test.go
@@ -46,6 +46,15 @@
 	if sub.View().Rank("master") == nil {
 		t.Error("got no rank during the switch, want the last view")
 	}
+	var asked []string
+	c.command = func(addr string, _ *wire.Command) *wire.Result {
+		asked = append(asked, addr)
+
+		return result(wire.Outcome_OUTCOME_DONE, 6)
+	}
+	if _, err := sub.Propose(t.Context(), &wire.Command{Id: "x"}); err != nil || asked[0] != "b:1" {
+		t.Errorf("command: got %v and %v, want b:1 first", asked, err)
+	}
 	two.pulse(5, 6*time.Second)
 	synctest.Wait()
 	if sub.Host() != "b:1" {
@@ -293,6 +302,34 @@
 	}
 }
 
+// Guards against an update that stops the process.
+func FuzzUpdate(f *testing.F) {
+	for _, u := range []*wire.Update{rankUpdate(1, true, "a", "b"), {Index: 2, Removals: []*wire.Removal{{Kind: "rank", Name: "a"}}}} {
+		data, err := proto.Marshal(&wire.Notice{Body: &wire.Notice_Update{Update: u}})
+		if err != nil {
+			f.Fatal(err)
+		}
+		f.Add(data)
+	}
+	f.Fuzz(func(t *testing.T, data []byte) {
+		n := &wire.Notice{}
+		if proto.Unmarshal(data, n) != nil {
+			return
+		}
+		synctest.Test(t, func(t *testing.T) {
+			c := newControl()
+			sub, clock := start(t, settings(c, "a:1"))
+			one := c.next(clock)
+			one.update(rankUpdate(1, true, "a"))
+			_ = one.Send(n)
+			synctest.Wait()
+			if got := sub.View().Index(); got < 1 {
+				t.Errorf("index: got %d, want at least 1", got)
+			}
+		})
+	})
+}
+
 // BenchmarkRest reports the bytes of messages that a process and its control host
 // exchange in a second without a change, without the 12 bytes that the session
 // adds to each. An idle agent, and an entry with the most
