--- a/internal/registrar/claim.go
+++ b/internal/registrar/claim.go
@@ -133,14 +133,23 @@
 
 		return res
 	}
-	h.Stage, h.Answer = stage, nil
+	next := withStage(h, stage)
 	if stage == wire.Stage_STAGE_DONE {
-		h.Answer = m.GetAnswer()
+		next.Answer = m.GetAnswer()
 	}
+	c.byKey[h.GetKey()] = next
 
 	return res
 }
 
+// withStage returns a copy, because a captured snapshot may still hold the claim.
+func withStage(h *wire.Held, stage wire.Stage) *wire.Held {
+	return &wire.Held{
+		Key: h.GetKey(), Digest: h.GetDigest(), Entry: h.GetEntry(), Epoch: h.GetEpoch(),
+		Request: h.GetRequest(), Until: h.GetUntil(), Stage: stage,
+	}
+}
+
 // settleUnknown handles a key without a claim. An entry that gave up waiting for
 // its claim releases it; if the claim is stored after the release it must not
 // hold the key.
@@ -192,7 +201,7 @@
 	s := start{entry, epoch}
 	lost := len(c.running[s])
 	for name := range c.running[s] {
-		c.byKey[name].Stage = wire.Stage_STAGE_LOST
+		c.byKey[name] = withStage(c.byKey[name], wire.Stage_STAGE_LOST)
 	}
 	delete(c.running, s)
 	c.gone[s] = now.UnixMilli()
--- a/internal/registrar/snapshot.go
+++ b/internal/registrar/snapshot.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"strings"
 
@@ -13,15 +14,32 @@
 )
 
 // Snapshot encodes the state; equal states give equal bytes.
-func (r *Registrar) Snapshot() ([]byte, error) {
+func (r *Registrar) Snapshot() ([]byte, error) { return r.Capture()() }
+
+// Capture notes the state and returns a function that encodes it as Snapshot does.
+// The function may run in another goroutine while commands are applied: with a
+// million claims the encoding takes longer than a leader may be silent.
+func (r *Registrar) Capture() func() ([]byte, error) {
 	s := &wire.State{
 		Applied: r.applied, Visible: r.visible, Revision: r.revision, Fence: r.fence, Floor: r.objects.floor,
-		Claims: r.claims.held(), Entries: r.claims.entities(),
+		Entries: r.claims.entities(), Crashes: r.crashes.copies(),
 		Results: append(slices.Clone(r.results.changes.all()), r.results.others.all()...),
-		History: r.history, Crashes: r.crashes.order.all(), Orders: r.carried,
+		// These two only grow at their end until they are replaced.
+		History: r.history, Orders: r.carried,
 	}
+	items := make([]*item, 0, r.objects.order.Len())
 	for e := r.objects.order.Front(); e != nil; e = e.Next() {
-		i := itemOf(e)
+		items = append(items, itemOf(e))
+	}
+	held := slices.AppendSeq(make([]*wire.Held, 0, len(r.claims.byKey)), maps.Values(r.claims.byKey))
+
+	return func() ([]byte, error) { return encode(s, items, held) }
+}
+
+func encode(s *wire.State, items []*item, held []*wire.Held) ([]byte, error) {
+	slices.SortFunc(held, func(a, b *wire.Held) int { return strings.Compare(a.GetKey(), b.GetKey()) })
+	s.Claims = held
+	for _, i := range items {
 		out := &wire.Item{Index: i.index, Kind: i.kind, Name: i.name, Gone: i.object == nil}
 		if i.object != nil {
 			data, err := marshal(i.object)
@@ -36,6 +54,16 @@
 	return marshal(s)
 }
 
+// copies returns the crashes as they are now.
+func (c *crashes) copies() []*wire.Crash {
+	out := make([]*wire.Crash, 0, c.order.len())
+	for _, x := range c.order.all() {
+		out = append(out, &wire.Crash{Id: x.GetId(), Time: x.GetTime(), Digests: x.GetDigests()})
+	}
+
+	return out
+}
+
 func marshal(m proto.Message) ([]byte, error) {
 	data, err := proto.MarshalOptions{Deterministic: true}.Marshal(m)
 	if err != nil {
@@ -45,16 +73,6 @@
 	return data, nil
 }
 
-func (c *claims) held() []*wire.Held {
-	out := make([]*wire.Held, 0, len(c.byKey))
-	for _, h := range c.byKey {
-		out = append(out, h)
-	}
-	slices.SortFunc(out, func(a, b *wire.Held) int { return strings.Compare(a.GetKey(), b.GetKey()) })
-
-	return out
-}
-
 func (c *claims) entities() []*wire.Entity {
 	var out []*wire.Entity
 	for _, s := range c.current {
--- a/internal/registrar/update_test.go
+++ b/internal/registrar/update_test.go
@@ -52,15 +52,44 @@
 	return cmd
 }
 
+// Guards, under the race detector, against commands that write what a captured
+// snapshot reads.
+func TestCaptureWhileApplying(t *testing.T) {
+	m := newMachine(t)
+	m.must(base)
+	m.claim("k", "d", "a")
+	m.blame("1", "p", "q")
+	m.register("s1", 1, false)
+	want := m.state()
+	capture, got := m.Capture(), make(chan []byte)
+	go func() {
+		data, _ := capture()
+		got <- data
+	}()
+	m.settle("k", "a", wire.Stage_STAGE_DONE)
+	m.blame("2", "p")
+	m.must("order server s1 load m; change rank drill floor=1%")
+	m.now = m.now.Add(100 * time.Hour)
+	m.absent("e")
+	if got := string(<-got); got != want {
+		t.Errorf("got another state, %d bytes, want that of the capture, %d bytes", len(got), len(want))
+	}
+}
+
 // Guards against a subscriber whose view depends on when it asked, against
 // revisions and indexes that fall, and against replicas that differ after one of
-// them was restored from a snapshot.
+// them was restored from a snapshot. A captured snapshot must not see later
+// commands.
 func TestReplicasAndViewsAgree(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
 		one, two := newMachine(t), newMachine(t)
 		steps := rapid.IntRange(1, 60).Draw(rt, "steps")
 		views := []*view{newView()}
+		captured, state := one.Capture(), one.state()
 		for range steps {
+			if rapid.IntRange(0, 9).Draw(rt, "capture") == 0 {
+				captured, state = one.Capture(), one.state()
+			}
 			one.now = one.now.Add(time.Duration(rapid.Int64Range(-1, 8).Draw(rt, "wait")) * time.Second)
 			two.now = one.now
 			revision, index := one.Revision(), one.Index()
@@ -83,6 +112,9 @@
 			next.apply(one.UpdateSince(0))
 			views = append(views, next)
 		}
+		if got, err := captured(); err != nil || string(got) != state {
+			rt.Fatalf("captured snapshot changed: %v", err)
+		}
 		want := views[len(views)-1]
 		for _, v := range views {
 			from := v.index
