Keep 5% of the memory free for more urgent ranks

Cause: running work is never interrupted, so an urgent ask waited for several releases on a full server. The headroom counts only while a more urgent rank has asked within the window, and not for a rank under its floor. Without the change TestHeadroom finds no unit free.

--- a/internal/granter/estimate.go
+++ b/internal/granter/estimate.go
@@ -56,9 +56,27 @@
 		variance += p * (1 - p) * units * units
 	}
 
+	free -= float64(g.headroom(now, it.Rank))
+
 	return float64(it.units) <= free+max(released-g.s.Caution*math.Sqrt(variance), 0)
 }
 
+// headroom is the number of units kept free for the asks of more urgent ranks
+// that are expected, because running work is never interrupted for them. A rank
+// below its floor need not leave any.
+func (g *Granter) headroom(now time.Time, rank int) int {
+	if g.s.Slots > 0 || g.deficit(now, rank) < 1 {
+		return 0
+	}
+	for _, c := range g.classes[:rank] {
+		if !c.asked.IsZero() && now.Sub(c.asked) < g.s.Window {
+			return g.s.units() * g.s.Headroom / 100
+		}
+	}
+
+	return 0
+}
+
 // wait estimates how long an ask waits until it can be dispatched: behind the
 // more urgent ranks and the earlier deadlines of its own, but never longer than
 // its rank's floor allows. Asks of callers over their share do not delay those
--- a/internal/granter/granter.go
+++ b/internal/granter/granter.go
@@ -130,6 +130,7 @@
 		return []Decision{g.late(now, it, wait)}
 	}
 	c := g.classes[a.Rank]
+	c.asked = now
 	if c.work+it.work > g.s.Queue.Seconds()*g.s.rate() && !g.evict(now, it) {
 		return []Decision{{ID: a.ID, Entry: a.Entry, Kind: Refused, Reason: ReasonQueue, After: max(wait, shortest)}}
 	}
--- a/internal/granter/granter_test.go
+++ b/internal/granter/granter_test.go
@@ -275,6 +275,28 @@
 	}
 }
 
+// Guards against less urgent work that takes the last units although urgent
+// asks have come lately. Without them no unit stays idle.
+func TestHeadroom(t *testing.T) {
+	t.Parallel()
+	for name, tt := range map[string]struct {
+		urgent bool
+		want   int // free units while less urgent asks wait
+	}{"urgent asks lately": {true, 2}, "none": {false, 0}} {
+		g := newGranter(t, Defaults(40))
+		if tt.urgent {
+			g.Ask(start, ask("urgent", 0, 1))
+			g.Release(start, "urgent")
+		}
+		for i := range 50 {
+			g.Ask(start, ask(fmt.Sprint(i), 2, 1))
+		}
+		if got := g.Load(start).Free; got != tt.want {
+			t.Errorf("%s: got %d units free, want %d", name, got, tt.want)
+		}
+	}
+}
+
 // Guards against promises that are broken often: after ends at 60% and at 140%
 // of the cost, a promise half way must not count on the release, one later may.
 func TestLearnedEnds(t *testing.T) {
--- a/internal/granter/queue.go
+++ b/internal/granter/queue.go
@@ -30,6 +30,7 @@
 	waiting []*item
 	work    float64 // unit-seconds waiting
 	served  meter
+	asked   time.Time // of the last ask
 	callers map[string]*meter
 }
 
--- a/internal/granter/serve.go
+++ b/internal/granter/serve.go
@@ -89,10 +89,6 @@
 // next returns the waiting ask to be granted first: of the rank that is
 // furthest under its floor, else of the most urgent rank.
 func (g *Granter) next(now time.Time) *item {
-	var total float64
-	for _, c := range g.classes {
-		total += c.served.read(now, g.decay)
-	}
 	var first *class
 	var rank int
 	worst := 1.0
@@ -103,8 +99,8 @@
 		if first == nil {
 			first, rank = c, r
 		}
-		if floor := float64(g.s.Ranks[r].Floor) / 100 * total; floor > 0 && c.served.value/floor < worst {
-			worst = c.served.value / floor
+		if d := g.deficit(now, r); d < worst {
+			worst = d
 			first, rank = c, r
 		}
 	}
@@ -120,6 +116,21 @@
 	return first.waiting[0]
 }
 
+// deficit is the work lately granted to a rank, relative to its floor: below 1
+// the rank has had less. A rank without a floor has no deficit.
+func (g *Granter) deficit(now time.Time, rank int) float64 {
+	var total float64
+	for _, c := range g.classes {
+		total += c.served.read(now, g.decay)
+	}
+	floor := float64(g.s.Ranks[rank].Floor) / 100 * total
+	if floor <= 0 {
+		return 1
+	}
+
+	return g.classes[rank].served.value / floor
+}
+
 // over tells whether a caller has had more than its share of the rank.
 func (g *Granter) over(now time.Time, rank int, caller string) bool {
 	c := g.classes[rank]
--- a/internal/granter/settings.go
+++ b/internal/granter/settings.go
@@ -18,6 +18,7 @@
 	Slots     int           // if positive, grants at a time; pieces are then not counted
 	Serial    bool          // the server runs its grants one after another (prefill)
 	Ranks     []Rank        // at least one
+	Headroom  int           // percent of the units kept free for more urgent ranks that asked lately
 	Caution   float64       // standard deviations by which promises stay below the expected releases
 	Lease     time.Duration // a grant ends when its entry was silent for so long
 	Queue     time.Duration // most work that may wait in one rank, as time of the server
@@ -31,6 +32,7 @@
 	return Settings{
 		Total:     total,
 		Ranks:     []Rank{{Share: 50}, {Floor: 15, Share: 50}, {Floor: 5, Share: 50}},
+		Headroom:  5,
 		Caution:   1,
 		Lease:     3 * time.Second,
 		Queue:     30 * time.Second,
@@ -64,6 +66,9 @@
 	if floors > 100 {
 		return errors.Newf("floors: sum of %d%%, want at most 100", floors)
 	}
+	if s.Headroom < 0 || s.Headroom > 50 {
+		return errors.Newf("headroom: %d%%, want 0 to 50", s.Headroom)
+	}
 	if s.Caution < 0 {
 		return errors.Newf("caution: %g, want 0 or more", s.Caution)
 	}
