Allow a transfer for the wait on its link in the benchmark

Cause: a long prompt's KV cache takes 0.3 s on the link, and transfers behind it were taken for stalled after 250 ms plus twice their own time. The benchmark now sets Limits.Transfer to 400 ms plus twice the expected time.

--- a/internal/evaluator/load_test.go
+++ b/internal/evaluator/load_test.go
@@ -224,7 +224,7 @@
 		Rank: r.rank, End: r.arrived.Add(3*target + 60*time.Second),
 		Prefix: r.prefix, Tokens: int64(r.tokens), Limit: int64(r.limit), Pieces: int64(r.pieces()), Work: prefill,
 		Stream: seconds(float64(r.limit) * expectedOutput * gapOf(enginePieces/2).Seconds()),
-		Limits: dispatcher.Limits{Gap: time.Minute, Transfer: 250*time.Millisecond + 2*transfer},
+		Limits: dispatcher.Limits{Gap: time.Minute, Transfer: 400*time.Millisecond + 2*transfer},
 	}
 	// Messages, one token and some slack have to fit after the prefill too.
 	req.Start = w.now.Add(target - prefill - transfer - 150*time.Millisecond)
