Serve asks whose prefill is done first within their rank

Cause: after a stalled transfer the second decode ask waited behind asks with an earlier due time whose prefill had not begun, until the result was evicted. On a server with promises an ask without Hold is such an ask; it goes first in its rank and may use the headroom.

--- a/internal/granter/estimate.go
+++ b/internal/granter/estimate.go
@@ -56,19 +56,19 @@
 		variance += p * (1 - p) * units * units
 	}
 
-	free -= float64(g.headroom(now, it.Rank))
+	free -= float64(g.headroom(now, it))
 
 	return float64(it.units) <= free+max(released-g.s.Caution*math.Sqrt(variance), 0)
 }
 
 // headroom is the number of units kept free for the asks of more urgent ranks
 // that are expected, because running work is never interrupted for them. A rank
-// below its floor need not leave any.
-func (g *Granter) headroom(now time.Time, rank int) int {
-	if g.s.Slots > 0 || g.deficit(now, rank) < 1 {
+// below its floor need not leave any, nor an ask whose prefill is done.
+func (g *Granter) headroom(now time.Time, it *item) int {
+	if g.s.Slots > 0 || it.Hold == 0 || g.deficit(now, it.Rank) < 1 {
 		return 0
 	}
-	for _, c := range g.classes[:rank] {
+	for _, c := range g.classes[:it.Rank] {
 		if !c.asked.IsZero() && now.Sub(c.asked) < g.s.Window {
 			return g.s.units() * g.s.Headroom / 100
 		}
@@ -93,7 +93,7 @@
 	var own float64
 	over := g.over(now, it.Rank, it.Caller)
 	for _, w := range g.classes[it.Rank].waiting {
-		if w.Due.After(it.Due) {
+		if !w.before(it) {
 			break
 		}
 		if !over && w.Caller != it.Caller && g.over(now, it.Rank, w.Caller) {
--- a/internal/granter/granter.go
+++ b/internal/granter/granter.go
@@ -234,7 +234,7 @@
 	l := Load{Total: g.s.units(), Free: g.free()}
 	for r, c := range g.classes {
 		l.Queued = append(l.Queued, len(c.waiting))
-		l.Waits = append(l.Waits, g.wait(now, &item{Ask: Ask{Rank: r, Due: now.Add(math.MaxInt64)}, units: 1}))
+		l.Waits = append(l.Waits, g.wait(now, &item{Ask: Ask{Rank: r, Due: now.Add(math.MaxInt64), Hold: 1}, units: 1}))
 	}
 
 	return l
--- a/internal/granter/queue.go
+++ b/internal/granter/queue.go
@@ -25,7 +25,7 @@
 	began time.Time
 }
 
-// class is the queue of one rank, ordered by deadline.
+// class is the queue of one rank in the order of item.before.
 type class struct {
 	waiting []*item
 	work    float64 // unit-seconds waiting
@@ -49,13 +49,24 @@
 	return m.value
 }
 
+// before orders the asks of a rank. An ask without Hold on a server that also
+// gets asks with Hold is for a prefill that is done and evicted in under a
+// second, whatever its due time.
+func (it *item) before(other *item) bool {
+	if ready := it.Hold == 0; ready != (other.Hold == 0) {
+		return ready
+	}
+
+	return !other.Due.Before(it.Due)
+}
+
 func (c *class) add(it *item) {
 	i, _ := slices.BinarySearchFunc(c.waiting, it, func(a, b *item) int {
-		if a.Due.After(b.Due) {
-			return 1
+		if a.before(b) {
+			return -1
 		}
 
-		return -1
+		return 1
 	})
 	c.waiting = slices.Insert(c.waiting, i, it)
 	c.work += it.work
--- a/internal/granter/serve.go
+++ b/internal/granter/serve.go
@@ -246,10 +246,11 @@
 		}
 	}
 	for _, c := range g.classes {
-		for len(c.waiting) > 0 && now.After(c.waiting[0].Due) {
-			it := c.waiting[0]
-			g.drop(now, it)
-			g.say(it, Refused, ReasonDeadline, max(g.wait(now, it), shortest))
+		for _, it := range slices.Clone(c.waiting) {
+			if now.After(it.Due) {
+				g.drop(now, it)
+				g.say(it, Refused, ReasonDeadline, max(g.wait(now, it), shortest))
+			}
 		}
 	}
 }
