--- a/internal/attendant/keeper_test.go
+++ b/internal/attendant/keeper_test.go
@@ -153,6 +153,16 @@
 
 func (w *world) dispatch(*rapid.T) {
 	id := w.pick()
+	if rapid.Bool().Draw(w.t, "granted") {
+		// Half of the dispatches go to the newest grant, so that enough run.
+		for i := len(w.ids) - 1; i >= 0; i-- {
+			if a := w.keeper.attempts[w.ids[i]]; a != nil && a.stage == stageGranted {
+				id = a.id
+
+				break
+			}
+		}
+	}
 	calls := []*wire.Call{
 		{Body: &wire.Call_Prefill{Prefill: &wire.Prefill{Id: id}}},
 		{Body: &wire.Call_Import{Import: &wire.Import{Id: id}}},
@@ -292,3 +302,32 @@
 		})
 	}
 }
+
+// Guards against memory that is granted again while the engine still holds it.
+func TestGrantAfterConfirmation(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		w := newWorld(t, false)
+		ask := func(id string) *wire.Ask {
+			return &wire.Ask{Id: id, Phase: wire.Phase_PHASE_PREFILL, Due: 5000, Pieces: testPieces, Entry: id, Epoch: 1}
+		}
+		w.do(w.keeper.Ask(w.now, w, ask("a")))
+		w.do(w.keeper.Dispatch(w.now, w, &wire.Call{Body: &wire.Call_Prefill{Prefill: &wire.Prefill{Id: "a"}}}))
+		switch rapid.SampledFrom([]string{"withdraw", "fail", "lease"}).Draw(t, "end") {
+		case "withdraw":
+			w.do(w.keeper.Withdraw(w.now, w, &wire.Withdraw{Id: "a"}))
+		case "fail":
+			w.end("a", false)
+		default:
+			w.now = w.now.Add(4 * time.Second)
+			w.do(w.keeper.Tick(w.now))
+		}
+		w.do(w.keeper.Ask(w.now, w, ask("b")))
+		if got, want := w.keeper.attempts["b"].stage, stageQueued; got != want {
+			t.Fatalf("before the confirmation: got %s, want %s", got, want)
+		}
+		w.do(w.keeper.Cancelled(w.now, "a"))
+		if got, want := w.keeper.attempts["b"].stage, stageGranted; got != want {
+			t.Fatalf("after the confirmation: got %s, want %s", got, want)
+		}
+	})
+}
--- a/internal/attendant/model_test.go
+++ b/internal/attendant/model_test.go
@@ -122,8 +122,8 @@
 	h.awaitEngine(func(c imitator.Counters) bool { return c.Tokens > 0 })
 	_ = h.session.Close()
 	h.clock.Advance(2900 * time.Millisecond)
-	if got, want := h.engine.Counters().Running, 1; got != want {
-		t.Errorf("within the lease: got %d attempts on the engine, want %d", got, want)
+	if got, want := h.agent.Dump().Grants[0].Stage, "decoding"; got != want {
+		t.Errorf("within the lease: got stage %s, want %s", got, want)
 	}
 	h.clock.Advance(300 * time.Millisecond)
 	h.freed()
--- a/internal/attendant/order_test.go
+++ b/internal/attendant/order_test.go
@@ -68,7 +68,7 @@
 // its own registration, so perhaps older than the current token.
 func TestOrderBeforeRegistration(t *testing.T) {
 	h := newSite(t, fast("decode"))
-	h.control.set(&wire.Server{Name: "s1", Epoch: 1, Fence: 5, Orders: []*wire.Order{order("old", 5, "prefill")}})
+	h.control.seen(&wire.Server{Name: "s1", Epoch: 1, Fence: 5, Orders: []*wire.Order{order("old", 5, "prefill")}})
 	h.control.set(h.server(6, order("new", 6, "decode")))
 	h.reported("new", "done")
 	if d := h.agent.Dump(); d.Token != 6 || !d.Fenced {
--- a/internal/attendant/rig_test.go
+++ b/internal/attendant/rig_test.go
@@ -30,6 +30,7 @@
 	blocked  map[string]bool
 	commands []*wire.Command
 	refuse   int // proposals that fail before one is stored
+	followed int // times that a follower began to wait for the next view
 	changed  chan struct{}
 }
 
@@ -43,6 +44,7 @@
 func (c *control) Changed() <-chan struct{} {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.followed++
 
 	return c.changed
 }
@@ -102,6 +104,31 @@
 	c.announce()
 }
 
+// seen stores a view and returns after every follower has read it.
+func (c *control) seen(s *wire.Server) {
+	// A follower asks for the next change before it reads a view, so it has
+	// read the first of these when it is woken by the second.
+	for range 2 {
+		c.mu.Lock()
+		before := c.followed
+		c.mu.Unlock()
+		c.set(s)
+		for c.followers() < before+followers {
+			pauseBriefly()
+		}
+	}
+}
+
+// followers is the number of goroutines of an agent that follow the view.
+const followers = 2
+
+func (c *control) followers() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+
+	return c.followed
+}
+
 // await blocks until a stored command satisfies ok.
 func (c *control) await(t *testing.T, ok func(*wire.Command) bool) *wire.Command {
 	t.Helper()
@@ -138,7 +165,7 @@
 func fast(role string) imitator.EngineSettings {
 	return imitator.EngineSettings{
 		Role: role, Pieces: 8, PrefillRate: 1e6, DecodeRate: 1000, LinkRate: 1e8,
-		Keep: 10 * time.Second, EventDelay: time.Millisecond, Restart: 30 * time.Millisecond,
+		Keep: time.Hour, EventDelay: time.Millisecond, Restart: 30 * time.Millisecond,
 		LoadTime: time.Millisecond,
 	}
 }
--- /dev/null
+++ b/internal/attendant/worker_test.go
@@ -0,0 +1,78 @@
+package attendant
+
+import (
+	"context"
+	"io"
+	"testing"
+	"time"
+
+	"github.com/phuslu/log"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/damasklever/damasklever/internal/driver"
+	"github.com/damasklever/damasklever/internal/timer"
+	"github.com/damasklever/damasklever/internal/wire"
+)
+
+// slowBackend returns from a prefill only when the test lets it, and records
+// the calls.
+type slowBackend struct {
+	*driver.Client
+	calls   chan string
+	release chan struct{}
+}
+
+func (b *slowBackend) Prefill(ctx context.Context, _ driver.Prefill) (driver.Prefilled, error) {
+	b.calls <- "prefill"
+	<-ctx.Done()
+	<-b.release
+	b.calls <- "returned"
+
+	return driver.Prefilled{}, ctx.Err()
+}
+
+func (b *slowBackend) Cancel(context.Context, string) error {
+	b.calls <- "cancel"
+
+	return nil
+}
+
+// Guards against a cancellation that overtakes the call it ends: the engine
+// would not know the id yet and then run the call without an owner.
+func TestCancelFollowsCall(t *testing.T) {
+	a, err := New(Settings{Name: "s1", Service: "desk", Region: "kochi", Backend: "127.0.0.1:1"}, Deps{
+		Timer: timer.NewManual(time.Unix(1000, 0)),
+		Log:   &log.Logger{Level: log.FatalLevel, Writer: &log.IOWriter{Writer: io.Discard}},
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	b := &slowBackend{Client: driver.New("127.0.0.1:1", time.Second), calls: make(chan string, 3), release: make(chan struct{})}
+	a.backend = b
+	a.up()
+	box := newOutbox(discard{})
+	defer box.Close()
+	a.receive(box, &wire.Call{Body: &wire.Call_Ask{Ask: &wire.Ask{
+		Id: "a", Phase: wire.Phase_PHASE_PREFILL, Due: 5000, Pieces: 1, Entry: "e1",
+	}}}, nil)
+	a.receive(box, &wire.Call{Body: &wire.Call_Prefill{Prefill: &wire.Prefill{Id: "a"}}}, nil)
+	if got, want := <-b.calls, "prefill"; got != want {
+		t.Fatalf("got %s, want %s", got, want)
+	}
+	a.receive(box, &wire.Call{Body: &wire.Call_Withdraw{Withdraw: &wire.Withdraw{Id: "a"}}}, nil)
+	select {
+	case got := <-b.calls:
+		t.Errorf("while the call runs: got %s, want nothing", got)
+	case <-time.After(20 * time.Millisecond):
+	}
+	close(b.release)
+	for _, want := range []string{"returned", "cancel"} {
+		if got := <-b.calls; got != want {
+			t.Errorf("got %s, want %s", got, want)
+		}
+	}
+}
+
+type discard struct{}
+
+func (discard) Send(proto.Message) error { return nil }
