--- a/internal/registrar/update_test.go
+++ b/internal/registrar/update_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	"google.golang.org/protobuf/proto"
 	"pgregory.net/rapid"
 
 	"github.com/damasklever/damasklever/internal/registrar"
@@ -51,15 +52,44 @@
 	return cmd
 }
 
+// Guards, under the race detector, against commands that write what a captured
+// snapshot reads.
+func TestCaptureWhileApplying(t *testing.T) {
+	m := newMachine(t)
+	m.must(base)
+	m.claim("k", "d", "a")
+	m.blame("1", "p", "q")
+	m.register("s1", 1, false)
+	want := m.state()
+	capture, got := m.Capture(), make(chan []byte)
+	go func() {
+		data, _ := capture()
+		got <- data
+	}()
+	m.settle("k", "a", wire.Stage_STAGE_DONE)
+	m.blame("2", "p")
+	m.must("order server s1 load m; change rank drill floor=1%")
+	m.now = m.now.Add(100 * time.Hour)
+	m.absent("e")
+	if got := string(<-got); got != want {
+		t.Errorf("got another state, %d bytes, want that of the capture, %d bytes", len(got), len(want))
+	}
+}
+
 // Guards against a subscriber whose view depends on when it asked, against
 // revisions and indexes that fall, and against replicas that differ after one of
-// them was restored from a snapshot.
+// them was restored from a snapshot. A captured snapshot must not see later
+// commands.
 func TestReplicasAndViewsAgree(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
 		one, two := newMachine(t), newMachine(t)
 		steps := rapid.IntRange(1, 60).Draw(rt, "steps")
 		views := []*view{newView()}
+		captured, state := one.Capture(), one.state()
 		for range steps {
+			if rapid.IntRange(0, 9).Draw(rt, "capture") == 0 {
+				captured, state = one.Capture(), one.state()
+			}
 			one.now = one.now.Add(time.Duration(rapid.Int64Range(-1, 8).Draw(rt, "wait")) * time.Second)
 			two.now = one.now
 			revision, index := one.Revision(), one.Index()
@@ -82,6 +112,9 @@
 			next.apply(one.UpdateSince(0))
 			views = append(views, next)
 		}
+		if got, err := captured(); err != nil || string(got) != state {
+			rt.Fatalf("captured snapshot changed: %v", err)
+		}
 		want := views[len(views)-1]
 		for _, v := range views {
 			from := v.index
@@ -170,6 +203,44 @@
 	})
 }
 
+// Guards against a command that stops every control host at once, and against
+// replicas that differ after it.
+func FuzzApply(f *testing.F) {
+	for _, cmd := range []*wire.Command{
+		change(f, "x", "drain server s1; order server s1 load m; block digest q for 1h"),
+		{Id: "x", Body: &wire.Command_Change{Change: &wire.Change{Edits: []*wire.Edit{{Verb: "set", Kind: "rank", Name: "a"}}}}},
+		{Id: "x", Body: &wire.Command_Claim{Claim: &wire.Claim{Key: "k", Request: "r", Retention: 1 << 62}}},
+		{Id: "x", Body: &wire.Command_Settle{Settle: &wire.Settle{Key: "k", Request: "r", Stage: 2}}},
+		{Id: "x", Body: &wire.Command_Blame{Blame: &wire.Blame{Crash: "c", Digests: []string{"p"}, Hold: 1 << 62}}},
+		{Id: "x", Body: &wire.Command_Register{Register: registration("s1", 2, true)}},
+	} {
+		data, err := proto.Marshal(cmd)
+		if err != nil {
+			f.Fatal(err)
+		}
+		f.Add(data)
+	}
+	f.Fuzz(func(t *testing.T, data []byte) {
+		cmd := &wire.Command{}
+		if proto.Unmarshal(data, cmd) != nil {
+			return
+		}
+		one, two := newMachine(t), newMachine(t)
+		for _, m := range []*machine{one, two} {
+			m.must(base)
+			m.register("s1", 1, false)
+			m.claim("k", "d", "r")
+		}
+		two.restart()
+		if got, want := one.apply(cmd).String(), two.apply(cmd).String(); got != want {
+			t.Errorf("result: got %s, want %s", got, want)
+		}
+		if one.state() != two.state() {
+			t.Error("states differ")
+		}
+	})
+}
+
 const fleet = 12_000
 
 func newFleet(b *testing.B) *machine {
