Let a host join although a founding member is down, and test the processes

The tests found two faults. A host that met a founded cluster still waited for every founding member; now one member that knows the cluster is enough. Dumps showed a learner as a voter before that was committed, so an operator could take away the host that was still needed; they now show the committed members. The default election timeout falls from 1 s to 600 ms, as the design asks for less than 2 s without a leader. Ruled out: registrations with one id for each start, since a process that was taken for absent must count again.

--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -128,7 +128,7 @@
 	go func() {
 		defer c.work.Done()
 		defer close(c.looped)
-		if err := c.takePart(); err != nil {
+		if err := c.takePart(); err != nil && !errors.Is(err, ErrClosed) {
 			c.fail(err)
 		}
 	}()
@@ -168,7 +168,7 @@
 	c.followMembers()
 	stop := c.s.Timer.Every(c.s.Heartbeat/ticksPerHeartbeat, c.tick)
 	defer stop()
-	defer c.s.Timer.Every(censusInterval, func(time.Time) { c.post(c.startCensus) })()
+	defer c.s.Timer.Every(min(censusInterval, c.s.Absent/3), func(time.Time) { c.post(c.startCensus) })()
 	c.tick(c.s.Timer.Now())
 	c.founded.Store(true)
 	c.s.Log.Info().Uint64("number", c.s.Number).Str("addr", c.me.GetAddr()).
--- a/internal/controller/controller_test.go
+++ b/internal/controller/controller_test.go
@@ -4,14 +4,22 @@
 	"context"
 	"fmt"
 	"net"
+	"os"
+	"path/filepath"
+	"slices"
 	"testing"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/damasklever/damasklever/internal/controller"
 	"github.com/damasklever/damasklever/internal/messenger"
+	"github.com/damasklever/damasklever/internal/recorder"
 	"github.com/damasklever/damasklever/internal/wire"
 )
 
+const pollInterval = 5 * time.Millisecond
+
 // host is one control host of a test.
 type host struct {
 	*controller.Controller
@@ -23,7 +31,8 @@
 	return controller.Settings{
 		Number: 1, Listen: "127.0.0.1:0", Folder: folder,
 		Members:  []*wire.Member{{Number: 1, Addr: "127.0.0.1:0"}},
-		Election: 300 * time.Millisecond, Heartbeat: 30 * time.Millisecond, Commit: 10 * time.Second,
+		Election: 300 * time.Millisecond, Heartbeat: 30 * time.Millisecond, Commit: 3 * time.Second,
+		Pulse: 100 * time.Millisecond, Force: 500 * time.Millisecond, Absent: 600 * time.Millisecond,
 	}
 }
 
@@ -108,14 +117,22 @@
 // apply proposes a command until it is decided.
 func apply(t testing.TB, h *host, cmd *wire.Command) *wire.Result {
 	t.Helper()
-	for {
-		r := ask(t, h, &wire.Request{Body: &wire.Request_Command{Command: cmd}}).GetResult()
-		switch r.GetOutcome() {
-		case wire.Outcome_OUTCOME_REFUSED, wire.Outcome_OUTCOME_PENDING:
-			time.Sleep(10 * time.Millisecond)
-		default:
-			return r
-		}
+	var r *wire.Result
+	until(func() bool {
+		r = ask(t, h, &wire.Request{Body: &wire.Request_Command{Command: cmd}}).GetResult()
+
+		return r.GetOutcome() != wire.Outcome_OUTCOME_REFUSED && r.GetOutcome() != wire.Outcome_OUTCOME_PENDING
+	})
+
+	return r
+}
+
+// until polls a state that changes without an event that a test can see.
+func until(reached func() bool) {
+	ticker := time.NewTicker(pollInterval)
+	defer ticker.Stop()
+	for !reached() {
+		<-ticker.C
 	}
 }
 
@@ -178,3 +195,118 @@
 		t.Errorf("revision of the next change: got %d, want %d", got, want)
 	}
 }
+
+// restart starts a host again with the same settings. With lost its data
+// directory is empty.
+func restart(t testing.TB, h *host, lost bool) *host {
+	t.Helper()
+	_ = h.Close()
+	if lost {
+		h.settings.Folder = t.TempDir()
+	}
+
+	return start(t, h.settings)
+}
+
+// Guards against a host that answers as if it had a majority.
+func TestWithoutMajorityNothingIsDoneAndReadsAreStale(t *testing.T) {
+	hosts := cluster(t, 3)
+	apply(t, hosts[0], change("1"))
+	l, rest := leader(t, hosts)
+	for _, h := range rest {
+		_ = h.Close()
+	}
+	until(func() bool { return l.Dump().Role != "leader" })
+	r := ask(t, l, &wire.Request{Body: &wire.Request_Command{Command: change("2")}}).GetResult()
+	if got, want := r.GetOutcome(), wire.Outcome_OUTCOME_REFUSED; got != want {
+		t.Errorf("outcome: got %v, want %v", got, want)
+	}
+	table := query(t, l, "services")
+	if got, want := table.GetStale(), true; got != want {
+		t.Errorf("stale: got %t, want %t", got, want)
+	}
+	if got, want := table.GetRows()[0].GetCells()[0], "1"; got != want {
+		t.Errorf("revision: got %s, want %s", got, want)
+	}
+}
+
+// Guards against a host with a lost disk that votes under its old identity, and
+// against a loss of changes when a second host is lost right after the repair.
+func TestHostWithLostDiskJoinsAsNewMember(t *testing.T) {
+	hosts := cluster(t, 3)
+	for i := range 20 {
+		apply(t, hosts[0], change(fmt.Sprint(i)))
+	}
+	l, rest := leader(t, hosts)
+	fresh := restart(t, rest[0], true)
+	apply(t, l, change("20"))
+	if got, want := fresh.Dump().Last, uint64(0); got != want {
+		t.Errorf("log of the host with a new disk before it was added: got %d entries, want %d", got, want)
+	}
+	for _, verb := range []string{"remove", "add"} {
+		r := apply(t, rest[1], &wire.Command{Id: verb, Body: &wire.Command_Peering{Peering: &wire.Peering{
+			Verb: verb, Addr: fresh.Addr(),
+		}}})
+		if got, want := r.GetOutcome(), wire.Outcome_OUTCOME_DONE; got != want {
+			t.Fatalf("%s: got %v (%s), want %v", verb, got, r.GetText(), want)
+		}
+	}
+	until(func() bool {
+		members := l.Dump().Members
+
+		return len(members) == 3 && !slices.ContainsFunc(members, func(m controller.Member) bool { return m.Learner })
+	})
+	_ = l.Close()
+	for _, h := range []*host{fresh, rest[1]} {
+		table := query(t, h, "services")
+		if got, want := table.GetRows()[0].GetCells()[0], "21"; got != want || table.GetStale() {
+			t.Errorf("revision after the second loss: got %s (stale %t), want %s", got, table.GetStale(), want)
+		}
+	}
+}
+
+// Guards against a host that cannot return when the entries it lacks are gone
+// from the others' logs.
+func TestReturnAfter500ChangesBySnapshot(t *testing.T) {
+	hosts := cluster(t, 3)
+	l, rest := leader(t, hosts)
+	for _, h := range []*host{l, rest[0]} {
+		h.settings.Compact = 100
+	}
+	_ = rest[1].Close()
+	l, other := restart(t, l, false), restart(t, rest[0], false)
+	for i := range 500 {
+		apply(t, l, change(fmt.Sprint(i)))
+	}
+	back := restart(t, rest[1], false)
+	table := query(t, back, "services")
+	if got, want := table.GetRows()[0].GetCells()[0], "500"; got != want || table.GetStale() {
+		t.Errorf("revision after the return: got %s (stale %t), want %s", got, table.GetStale(), want)
+	}
+	if got, least := back.Dump().Snapshot, uint64(100); got < least {
+		t.Errorf("snapshot of the host that returned: got %d, want at least %d", got, least)
+	}
+	_ = other.Close()
+}
+
+// Guards against a damaged data directory that starts as if it were new.
+func TestDamagedDirectoryDoesNotStart(t *testing.T) {
+	s := settings(t.TempDir())
+	h := start(t, s)
+	for i := range 3 {
+		apply(t, h, change(fmt.Sprint(i)))
+	}
+	_ = h.Close()
+	name := filepath.Join(s.Folder, "log")
+	data, err := os.ReadFile(name)
+	if err != nil {
+		t.Fatal(err)
+	}
+	data[40] ^= 1
+	if err := os.WriteFile(name, data, 0o600); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := controller.New(s); !errors.Is(err, recorder.ErrDamaged) {
+		t.Errorf("got %v, want %v", err, recorder.ErrDamaged)
+	}
+}
--- a/internal/controller/dump.go
+++ b/internal/controller/dump.go
@@ -76,16 +76,18 @@
 	return ready
 }
 
+// members lists the committed members: an operator who reads that a host votes
+// may rely on it when another one is taken away.
 func members(st replicator.Status) []Member {
 	var list []Member
-	for i, m := range slices.Concat(st.Members.GetVoters(), st.Members.GetLearners()) {
+	for i, m := range slices.Concat(st.Settled.GetVoters(), st.Settled.GetLearners()) {
 		match := st.Match[m.GetId()]
 		if m.GetId() == st.ID {
 			match = st.Last
 		}
 		list = append(list, Member{
 			Number: m.GetNumber(), ID: memberName(m.GetId()), Addr: m.GetAddr(),
-			Learner: i >= len(st.Members.GetVoters()), Match: match,
+			Learner: i >= len(st.Settled.GetVoters()), Match: match,
 		})
 	}
 
--- a/internal/controller/fake_test.go
+++ b/internal/controller/fake_test.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"slices"
 	"sync"
 	"time"
 
@@ -100,3 +101,10 @@
 
 	return json.Unmarshal(data, f)
 }
+
+func (f *fakeState) lost() []string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+
+	return slices.Clone(f.Lost)
+}
--- a/internal/controller/founder.go
+++ b/internal/controller/founder.go
@@ -45,46 +45,46 @@
 	return nil
 }
 
-// meet returns the founding members, or nil if the cluster exists already.
+// meet returns the founding members, or nil if the cluster exists already. One
+// member that knows the cluster is enough to tell: the others may be down.
 func (c *Controller) meet() (*wire.Members, error) {
-	met := &wire.Members{}
-	for _, m := range c.s.Members {
-		if m.GetNumber() == c.s.Number {
-			met.Voters = append(met.Voters, c.me)
-
-			continue
-		}
-		g, err := c.greetUntil(m)
-		if err != nil {
-			return nil, err
-		}
-		if g.GetMembers() != nil {
-			c.reportPlace(g.GetMembers())
-
-			return nil, nil //nolint:nilnil // documented
-		}
-		met.Voters = append(met.Voters, &wire.Member{Id: g.GetId(), Addr: m.GetAddr(), Number: m.GetNumber()})
-	}
+	met := map[uint64]*wire.Member{c.s.Number: c.me}
+	for {
+		for _, m := range c.s.Members {
+			if met[m.GetNumber()] != nil {
+				continue
+			}
+			g, err := c.greet(c.ctx, m.GetAddr())
+			if err != nil {
+				c.s.Log.Info().Uint64("number", m.GetNumber()).Str("addr", m.GetAddr()).Err(err).Msg("waiting for member")
 
-	return met, nil
-}
+				continue
+			}
+			if g.GetNumber() != m.GetNumber() {
+				return nil, errors.Newf("found cluster: host at %s has number %d, the settings say %d",
+					m.GetAddr(), g.GetNumber(), m.GetNumber())
+			}
+			if g.GetMembers() != nil {
+				c.reportPlace(g.GetMembers())
+				c.recorded.Store(g.GetMembers())
 
-// greetUntil greets a member until it answers.
-func (c *Controller) greetUntil(m *wire.Member) (*wire.Greeting, error) {
-	for {
-		g, err := c.greet(c.ctx, m.GetAddr())
-		if err == nil && g.GetNumber() != m.GetNumber() {
-			return nil, errors.Newf("found cluster: host at %s has number %d, the settings say %d",
-				m.GetAddr(), g.GetNumber(), m.GetNumber())
+				return nil, nil //nolint:nilnil // documented
+			}
+			met[m.GetNumber()] = &wire.Member{Id: g.GetId(), Addr: m.GetAddr(), Number: m.GetNumber()}
 		}
-		if err == nil {
-			return g, nil
+		if len(met) == len(c.s.Members) {
+			break
 		}
-		c.s.Log.Info().Uint64("number", m.GetNumber()).Str("addr", m.GetAddr()).Err(err).Msg("waiting for member")
 		if !c.pause(c.ctx, greetInterval) {
 			return nil, errors.Newf("found cluster: %w", ErrClosed)
 		}
 	}
+	members := &wire.Members{}
+	for _, m := range c.s.Members {
+		members.Voters = append(members.Voters, met[m.GetNumber()])
+	}
+
+	return members, nil
 }
 
 // reportPlace says what a host with a new data directory is in a cluster that
--- a/internal/controller/proposer.go
+++ b/internal/controller/proposer.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -23,10 +24,15 @@
 	bounded, cancel := c.within(ctx, c.s.Commit)
 	defer cancel()
 	ch, leader, err := c.propose(bounded, cmd)
+	for errors.Is(err, replicator.ErrChanging) && c.pause(bounded, retryInterval) {
+		ch, leader, err = c.propose(bounded, cmd)
+	}
 	switch {
+	case errors.Is(err, errNothing):
+		return outcome(cmd, wire.Outcome_OUTCOME_DONE, err.Error())
 	case errors.Is(err, replicator.ErrNotLeader):
 		if leader == "" || forwarded {
-			return outcome(cmd, wire.Outcome_OUTCOME_REFUSED, "not run: this control host knows no leader")
+			return outcome(cmd, wire.Outcome_OUTCOME_REFUSED, "not run: this control host knows no leader to send it to")
 		}
 
 		return c.forward(ctx, cmd, leader)
@@ -45,6 +51,10 @@
 	}
 	if cmd.GetPeering() != nil {
 		result.Id = cmd.GetId()
+		result.Text = "the member is removed"
+		if cmd.GetPeering().GetVerb() == "add" {
+			result.Text = "the member is added; it votes once it has caught up"
+		}
 	}
 	if cmd.GetChange() != nil && result.GetOutcome() == wire.Outcome_OUTCOME_DONE && !cmd.GetChange().GetDry() {
 		return c.count(ctx, result)
@@ -53,7 +63,10 @@
 	return result
 }
 
-var errInvalid = errors.New("invalid")
+var (
+	errInvalid = errors.New("invalid")
+	errNothing = errors.New("nothing to do")
+)
 
 func outcome(cmd *wire.Command, o wire.Outcome, text string) *wire.Result {
 	return &wire.Result{Id: cmd.GetId(), Outcome: o, Text: text}
@@ -92,11 +105,7 @@
 // append runs in the event loop.
 func (c *Controller) append(cmd *wire.Command, add *wire.Member) (index, term uint64, err error) {
 	if p := cmd.GetPeering(); p != nil {
-		if add != nil {
-			return c.core.AddLearner(add)
-		}
-
-		return c.core.Remove(c.memberID(p))
+		return c.appendPeering(p, add)
 	}
 	stored, _ := proto.Clone(cmd).(*wire.Command)
 	// The log's time never goes back, also when leaders' clocks differ.
@@ -110,6 +119,30 @@
 	return c.core.Propose(data)
 }
 
+// appendPeering runs in the event loop. A change of the members that is sent
+// again finds nothing to do.
+func (c *Controller) appendPeering(p *wire.Peering, add *wire.Member) (index, term uint64, err error) {
+	st := c.core.Status()
+	if st.Role != replicator.Leader {
+		return 0, 0, replicator.ErrNotLeader
+	}
+	id := c.memberID(p)
+	is := func(m *wire.Member) bool { return m.GetId() == id }
+	member := slices.ContainsFunc(st.Members.GetVoters(), is) || slices.ContainsFunc(st.Members.GetLearners(), is)
+	switch {
+	case add == nil && !member:
+		return 0, 0, errors.Newf("%w: it is no member", errNothing)
+	case add == nil:
+		return c.core.Remove(id)
+	case member && add.GetId() == id:
+		return 0, 0, errors.Newf("%w: it is a member", errNothing)
+	case member:
+		return 0, 0, errors.Newf("the member at %s has another data directory; remove it first: %w", p.GetAddr(), errInvalid)
+	}
+
+	return c.core.AddLearner(add)
+}
+
 func (c *Controller) leaderAddr() string {
 	st := c.core.Status()
 	for _, m := range st.Members.GetVoters() {
--- a/internal/controller/server.go
+++ b/internal/controller/server.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"math"
+	"math/rand/v2"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -104,8 +105,8 @@
 	}
 }
 
-// register proposes until a control host has an answer. The same start of the
-// same process has the same command id on every host, so it is applied once.
+// register proposes until a control host has an answer. The id is new for each
+// stream: a process that was taken for absent must count again when it returns.
 func (c *Controller) register(ctx context.Context, r *wire.Register, verb string) {
 	a := r.GetAttach()
 	attach := &wire.Attach{
@@ -113,7 +114,7 @@
 		Service: a.GetService(), Phase: a.GetPhase(), Pieces: a.GetPieces(), Epoch: a.GetEpoch(),
 	}
 	cmd := &wire.Command{
-		Id:     fmt.Sprintf("%s/%s/%s/%d", verb, a.GetRole(), a.GetName(), a.GetEpoch()),
+		Id:     fmt.Sprintf("%s/%s/%s/%d/%x", verb, a.GetRole(), a.GetName(), a.GetEpoch(), rand.Uint64()), //nolint:gosec // no secret
 		Who:    a.GetName(),
 		Expect: -1,
 		Body:   &wire.Command_Register{Register: &wire.Register{Attach: attach, Gone: r.GetGone()}},
--- a/internal/controller/settings.go
+++ b/internal/controller/settings.go
@@ -16,11 +16,12 @@
 )
 
 const (
-	defaultElection  = time.Second
-	defaultHeartbeat = 200 * time.Millisecond
+	// defaultElection bounds the first election after the loss of a leader by 1.2 s.
+	defaultElection  = 600 * time.Millisecond
+	defaultHeartbeat = 120 * time.Millisecond
 	defaultPulse     = 2 * time.Second
 	defaultCommit    = 3 * time.Second
-	defaultForce     = 2500 * time.Millisecond
+	defaultForce     = time.Second
 	defaultAbsent    = 15 * time.Second
 	defaultCompact   = 10_000
 )
@@ -63,7 +64,8 @@
 	// Commit bounds the wait for a commit and for a confirmed read.
 	Commit time.Duration
 	// Force bounds the wait for attached processes to report a new revision.
-	// Processes report at least every Pulse.
+	// Processes report right after an update. Commit, Force and Election together
+	// are the longest wait of a client.
 	Force time.Duration
 	// Absent is how long an entry process is detached from all hosts before its
 	// running claims are lost: its lease of 3 s and a margin in which it can
--- a/internal/replicator/replicator.go
+++ b/internal/replicator/replicator.go
@@ -80,7 +80,8 @@
 	ID, Term, Leader      uint64
 	Role                  Role
 	Commit, Last, Applied uint64
-	Members               *wire.Members
+	Members               *wire.Members     // in force, committed or not
+	Settled               *wire.Members     // the last committed ones
 	Match                 map[uint64]uint64 // on the leader, by member
 }
 
@@ -244,7 +245,8 @@
 	m, _ := c.log.members()
 	st := Status{
 		ID: c.s.ID, Term: c.term, Leader: c.leader, Role: c.role, Commit: c.log.commit,
-		Last: c.log.last(), Applied: c.log.handed, Members: cloneMembers(m), Match: make(map[uint64]uint64),
+		Last: c.log.last(), Applied: c.log.handed, Members: cloneMembers(m),
+		Settled: cloneMembers(c.log.membersAt(c.log.commit)), Match: make(map[uint64]uint64),
 	}
 	for id, p := range c.progress {
 		st.Match[id] = p.match
--- a/internal/replicator/settings.go
+++ b/internal/replicator/settings.go
@@ -7,8 +7,9 @@
 )
 
 const (
-	defaultElection  = time.Second
-	defaultHeartbeat = 200 * time.Millisecond
+	// defaultElection bounds the first election after the loss of a leader by 1.2 s.
+	defaultElection  = 600 * time.Millisecond
+	defaultHeartbeat = 120 * time.Millisecond
 	defaultBatch     = 256 << 10
 	defaultWindow    = 16
 	defaultBacklog   = 16 << 20
