--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -63,8 +63,10 @@
 	reading   map[uint64]chan replicator.Read
 	reads     uint64
 	arrivals  map[uint64][]chan struct{} // waits until an index is applied
-	compacted uint64
-	updates   map[uint64]*wire.Update // by the index asked for, since the last change
+	compacted uint64                     // index of the latest snapshot
+	packed    int                        // bytes of its data
+	grown     int                        // bytes of entries applied after it
+	updates   map[uint64]*wire.Update    // by the index asked for, since the last change
 	members   *wire.Members
 	counting  bool                  // a census is running
 	missing   map[entryID]time.Time // entry processes with claims that are not attached, since when
--- a/internal/controller/loop.go
+++ b/internal/controller/loop.go
@@ -11,6 +11,10 @@
 	"github.com/damasklever/damasklever/internal/wire"
 )
 
+// compactBytes is the size of the log's data at which a snapshot is taken even
+// if there are few entries, as stored answers of calls may be large.
+const compactBytes = 16 << 20
+
 // waiter is a proposal of this host that waits for its commit.
 type waiter struct {
 	term uint64
@@ -155,7 +159,7 @@
 			return errors.Newf("restore snapshot at %d: %w", s.GetIndex(), err)
 		}
 	}
-	c.compacted = s.GetIndex()
+	c.compacted, c.grown, c.packed = s.GetIndex(), 0, len(s.GetData())
 	for index, w := range c.waiting {
 		// The snapshot does not tell whether it holds this command.
 		if index <= s.GetIndex() {
@@ -187,6 +191,7 @@
 			c.changed()
 		}
 	}
+	c.grown += len(e.GetData())
 	c.reach(e.GetIndex())
 	if w := c.waiting[e.GetIndex()]; w != nil {
 		delete(c.waiting, e.GetIndex())
@@ -229,7 +234,8 @@
 }
 
 func (c *Controller) compact() error {
-	if c.applied < c.compacted+c.s.Compact {
+	// The log may take as much memory as the state, but no more.
+	if c.applied < c.compacted+c.s.Compact && c.grown < max(compactBytes, c.packed) {
 		return nil
 	}
 	data, err := c.state.Snapshot()
@@ -243,7 +249,7 @@
 	if err := c.rec.Snapshot(s); err != nil {
 		return errors.Newf("sync snapshot: %w", err)
 	}
-	c.compacted = c.applied
+	c.compacted, c.grown, c.packed = c.applied, 0, len(data)
 	c.s.Log.Info().Uint64("index", c.applied).Int("bytes", len(data)).Msg("snapshot taken")
 
 	return nil
--- a/internal/recorder/files.go
+++ b/internal/recorder/files.go
@@ -37,7 +37,9 @@
 // folder is Files in a directory of the operating system.
 type folder struct{ path string }
 
-func openFolder(path string) (Files, error) {
+// OpenFolder returns a directory of the operating system and creates it if it is
+// missing.
+func OpenFolder(path string) (Files, error) {
 	if err := os.MkdirAll(path, folderMode); err != nil {
 		return nil, errors.Newf("create data directory: %w", err)
 	}
--- a/internal/recorder/recorder.go
+++ b/internal/recorder/recorder.go
@@ -114,7 +114,7 @@
 	files := s.Files
 	if files == nil {
 		var err error
-		if files, err = openFolder(path); err != nil {
+		if files, err = OpenFolder(path); err != nil {
 			return nil, errors.Newf("open recorder: %w", err)
 		}
 	}
