Bound the servers scored in one decision

Cause: with 1,000 servers a decision scored 16 of them and with 9 only 7, so its cost was not flat. The quotas of own centre, own region and elsewhere are now shared, and at most two cache holders are added. The table has a new column, long: prompts of 8,192 tokens or more.

--- a/internal/evaluator/table_test.go
+++ b/internal/evaluator/table_test.go
@@ -19,6 +19,7 @@
 	// crowdedBelow is the part of a rank's requests with a good answer below
 	// which its callers compete, so that shares count.
 	crowdedBelow = 0.9
+	longPrompt   = 8192 // tokens; the longest 6% of the prompts
 )
 
 // costs are the engine seconds that a request needs at least.
@@ -73,6 +74,7 @@
 	service              [2]float64
 	region               [3]float64
 	answers              [3]float64 // good answers a second by rank
+	long                 float64    // as rank, of the long prompts
 	kept                 float64    // least good answers of a rank that isn't flooding, as part of what it is due
 	wasted, refused      float64
 	paid                 float64 // MB/s
@@ -102,7 +104,7 @@
 	from, to := start.Add(warmUp), start.Add(length)
 	window := to.Sub(from).Seconds()
 	var rank, region [3]ratio
-	var summary, booking, refused ratio
+	var summary, booking, refused, long ratio
 	var offered [3]float64
 	callers := [3]map[string]float64{{}, {}, {}}
 	var spent, wasted time.Duration
@@ -138,6 +140,9 @@
 		rank[r.rank].add(r.good())
 		region[r.region].add(r.good())
 		summary.add(r.good())
+		if r.tokens >= longPrompt {
+			long.add(r.good())
+		}
 		refused.add(r.refused && !r.done)
 		if !r.good() {
 			reason := r.failure
@@ -186,7 +191,7 @@
 			out.kept = min(out.kept, out.answers[i]/due)
 		}
 	}
-	out.refused = refused.value()
+	out.refused, out.long = refused.value(), long.value()
 	out.wasted = wasted.Seconds() / max(spent.Seconds(), 1e-9)
 	out.paid = w.paid / 1e6 / length.Seconds()
 	out.messages = float64(w.messages) / float64(len(w.requests))
@@ -233,7 +238,7 @@
 }
 
 func (r *row) values() []*float64 {
-	v := []*float64{&r.goodput, &r.bound, &r.best, &r.work, &r.kept, &r.wasted, &r.refused, &r.paid, &r.messages, &r.share}
+	v := []*float64{&r.goodput, &r.bound, &r.best, &r.work, &r.kept, &r.wasted, &r.refused, &r.paid, &r.messages, &r.share, &r.long}
 	for i := range 3 {
 		v = append(v, &r.rank[i], &r.region[i], &r.answers[i])
 	}
@@ -285,7 +290,7 @@
 		rows := evaluate(list, versions, seeds, longRun)
 		tw := tabwriter.NewWriter(os.Stdout, 0, 0, 1, ' ', tabwriter.AlignRight)
 		fmt.Fprint(tw, "load\tversion\tgoodput\tbound\t%\twork%\tbest\tr0\tr1\tr2\tsummary\tbooking\tregion0\tregion1\tregion2\t"+
-			"wasted%\trefused%\tkept\tshare\tpaid MB/s\tmessages\tr0/s\tr1/s\tr2/s\t\n")
+			"long\twasted%\trefused%\tkept\tshare\tpaid MB/s\tmessages\tr0/s\tr1/s\tr2/s\t\n")
 		for i, sc := range list {
 			for j, v := range versions {
 				r := rows[i][j]
@@ -294,8 +299,8 @@
 				for _, f := range slices.Concat(r.rank[:], r.service[:], r.region[:]) {
 					fmt.Fprintf(tw, "%.1f\t", 100*f)
 				}
-				fmt.Fprintf(tw, "%.2f\t%.1f\t%.2f\t%.2f\t%.1f\t%.1f\t%.2f\t%.2f\t%.2f\t\n",
-					100*r.wasted, 100*r.refused, r.kept, r.share, r.paid, r.messages, r.answers[0], r.answers[1], r.answers[2])
+				fmt.Fprintf(tw, "%.1f\t%.2f\t%.1f\t%.2f\t%.2f\t%.1f\t%.1f\t%.2f\t%.2f\t%.2f\t\n",
+					100*r.long, 100*r.wasted, 100*r.refused, r.kept, r.share, r.paid, r.messages, r.answers[0], r.answers[1], r.answers[2])
 				if os.Getenv("POLICY_FAILURES") != "" {
 					fmt.Fprintln(os.Stderr, sc.name, v.name, r.failures, r.counts)
 				}
--- a/internal/picker/cache.go
+++ b/internal/picker/cache.go
@@ -82,18 +82,21 @@
 	}
 }
 
+// maxHits is how many servers outside the sample are looked at for their cache.
+const maxHits = 2
+
 // longest appends the servers believed to hold the longest cached prefixes to
-// hits, at most maxHolders of them, the longest first.
+// hits, at most maxHits of them, the longest first.
 func (c *cache) longest(prefix []uint64, hits []hit) []hit {
 	low := max(len(prefix)-maxPrefix, 0)
-	for i := len(prefix); i > low && len(hits) < maxHolders; i-- {
+	for i := len(prefix); i > low && len(hits) < maxHits; i-- {
 		h := c.holders[prefix[i-1]]
 		if h == nil {
 			continue
 		}
 		for _, server := range h.server[:h.n] {
 			known := slices.ContainsFunc(hits, func(x hit) bool { return x.node == server })
-			if !known && len(hits) < maxHolders {
+			if !known && len(hits) < maxHits {
 				hits = append(hits, hit{server, i})
 			}
 		}
--- a/internal/picker/picker.go
+++ b/internal/picker/picker.go
@@ -97,6 +97,7 @@
 	seen   []*node // scratch space of Pick
 	scored []scored
 	hits   []hit
+	quota  int // servers that sample may still add
 }
 
 // New returns a picker that knows no servers. It returns the error of
--- a/internal/picker/score.go
+++ b/internal/picker/score.go
@@ -24,14 +24,14 @@
 // gather fills seen with a bounded sample of servers: near ones first, a few
 // from elsewhere, and those believed to hold the longest cached prefix.
 func (p *Picker) gather(q Query) origin {
-	p.seen = p.seen[:0]
+	p.seen, p.quota = p.seen[:0], 0
 	from := origin{region: q.Region, centre: q.Centre}
 	if near := p.nodes[q.Near]; near != nil {
 		from = origin{region: near.Region, centre: near.Centre, kv: true}
 	}
-	p.sample(p.centre[place{q.Service, q.Phase, from.centre}])
-	p.sample(p.region[place{q.Service, q.Phase, from.region}])
-	p.sample(p.all[place{q.Service, q.Phase, ""}])
+	p.sample(p.centre[place{q.Service, q.Phase, from.centre}], p.s.Sample)
+	p.sample(p.region[place{q.Service, q.Phase, from.region}], (p.s.Sample+1)/2)
+	p.sample(p.all[place{q.Service, q.Phase, ""}], (p.s.Sample+1)/2)
 	p.hits = p.hits[:0]
 	if q.Phase != Prefill {
 		return from
@@ -47,20 +47,22 @@
 	return from
 }
 
-// sample adds up to Settings.Sample servers of list that are not in seen yet,
-// from a random place on. The cost does not grow with the list.
-func (p *Picker) sample(list []*node) {
+// sample adds servers of list that are not in seen yet, from a random place
+// on, at most most of them and one more for each that an earlier list lacked.
+// The cost does not grow with the list.
+func (p *Picker) sample(list []*node, most int) {
 	if len(list) == 0 {
 		return
 	}
+	p.quota += most
 	i := p.rand.IntN(len(list))
-	left := p.s.Sample
 	for range min(len(list), 4*p.s.Sample) {
+		if p.quota <= 0 {
+			return
+		}
 		if n := list[i]; !slices.Contains(p.seen, n) {
 			p.seen = append(p.seen, n)
-			if left--; left == 0 {
-				return
-			}
+			p.quota--
 		}
 		if i++; i == len(list) {
 			i = 0
