Count the next grant when a share is judged

Cause: a caller was held back only after it had passed its share, on each server. The typical work of a grant in the rank is now counted in advance.

--- a/internal/granter/estimate.go
+++ b/internal/granter/estimate.go
@@ -91,12 +91,12 @@
 		}
 	}
 	var own float64
-	over := g.over(now, it.Rank, it.Caller)
+	over := g.over(now, it.Rank, it.Caller, 0)
 	for _, w := range g.classes[it.Rank].waiting {
 		if !w.before(it) {
 			break
 		}
-		if !over && w.Caller != it.Caller && g.over(now, it.Rank, w.Caller) {
+		if !over && w.Caller != it.Caller && g.over(now, it.Rank, w.Caller, 0) {
 			continue
 		}
 		own += w.work
--- a/internal/granter/queue.go
+++ b/internal/granter/queue.go
@@ -30,6 +30,7 @@
 	waiting []*item
 	work    float64 // unit-seconds waiting
 	served  meter
+	typical float64   // work of one grant, moving average
 	asked   time.Time // of the last ask
 	callers map[string]*meter
 }
@@ -82,10 +83,17 @@
 	}
 }
 
+// typicalWeight is the weight of the latest grant in class.typical.
+const typicalWeight = 0.05
+
 // charge counts granted work towards the rank's floor and the caller's share.
 func (c *class) charge(now time.Time, it *item, decay func(time.Duration) float64) {
 	c.served.read(now, decay)
 	c.served.value += it.work
+	if c.typical == 0 {
+		c.typical = it.work
+	}
+	c.typical += typicalWeight * (it.work - c.typical)
 	m := c.callers[it.Caller]
 	if m == nil {
 		m = &meter{at: now}
--- a/internal/granter/serve.go
+++ b/internal/granter/serve.go
@@ -108,7 +108,7 @@
 		return nil
 	}
 	for _, it := range first.waiting {
-		if !g.over(now, rank, it.Caller) {
+		if !g.over(now, rank, it.Caller, first.typical) {
 			return it
 		}
 	}
@@ -131,8 +131,10 @@
 	return g.classes[rank].served.value / floor
 }
 
-// over tells whether a caller has had more than its share of the rank.
-func (g *Granter) over(now time.Time, rank int, caller string) bool {
+// over tells whether a caller has more than its share of the rank, once more
+// work is granted to it. The typical work of a grant stands for that of the next
+// one: with its own work, long prompts would always come last.
+func (g *Granter) over(now time.Time, rank int, caller string, more float64) bool {
 	c := g.classes[rank]
 	m := c.callers[caller]
 	if m == nil {
@@ -140,7 +142,7 @@
 	}
 	share := float64(g.s.Ranks[rank].Share) / 100
 
-	return m.read(now, g.decay) > share*c.served.read(now, g.decay)
+	return m.read(now, g.decay)+more > share*(c.served.read(now, g.decay)+more)
 }
 
 func (g *Granter) grant(now time.Time, it *item) {
@@ -207,13 +209,13 @@
 // evict makes room in a full queue for an ask of a caller within its share by
 // refusing waiting asks of callers that are over theirs, the latest first.
 func (g *Granter) evict(now time.Time, it *item) bool {
-	if g.over(now, it.Rank, it.Caller) {
+	if g.over(now, it.Rank, it.Caller, 0) {
 		return false
 	}
 	c := g.classes[it.Rank]
 	limit := g.s.Queue.Seconds() * g.s.rate()
 	for i := len(c.waiting) - 1; i >= 0 && c.work+it.work > limit; i-- {
-		if w := c.waiting[i]; g.over(now, it.Rank, w.Caller) {
+		if w := c.waiting[i]; g.over(now, it.Rank, w.Caller, 0) {
 			g.drop(now, w)
 			g.say(w, Refused, ReasonQueue, max(g.wait(now, w), shortest))
 		}
