Keep a prefill in the region of its decode memory

Cause: after the near prefill servers had refused, the next round asked those of other regions. The KV cache then crossed on a slow path, held the link and came late, so the prefill was wasted. Prefill candidates of another region now count only if no near server works. Without the change the new cases of TestPick get a billed candidate.

--- a/internal/picker/picker.go
+++ b/internal/picker/picker.go
@@ -193,8 +193,13 @@
 func (p *Picker) Pick(now time.Time, q Query, n int) []Candidate {
 	from := p.gather(q)
 	p.scored = p.scored[:0]
+	near := false // a server of the region works
 	for _, nd := range p.seen {
-		if now.Before(nd.until) || nd.load.Leaving || slices.Contains(q.Avoid, nd.Name) {
+		if now.Before(nd.until) || nd.load.Leaving {
+			continue
+		}
+		near = near || nd.Region == from.region
+		if slices.Contains(q.Avoid, nd.Name) {
 			continue
 		}
 		p.scored = append(p.scored, scored{p.score(now, q, from, nd), nd})
@@ -206,6 +211,10 @@
 			}
 		}
 	}
+	if q.Phase == Prefill && from.kv && near {
+		// The KV cache would cross regions, and arrive late under load.
+		p.scored = slices.DeleteFunc(p.scored, func(c scored) bool { return c.Paid })
+	}
 	slices.SortFunc(p.scored, func(a, b scored) int { return cmp.Compare(a.Score, b.Score) })
 	n = min(n, len(p.scored))
 	if n <= 0 {
--- a/internal/picker/picker_test.go
+++ b/internal/picker/picker_test.go
@@ -109,6 +109,13 @@
 			before: func(p *Picker) { p.Observe(start, "d3", busy(time.Second)) },
 			query:  Query{Service: "s", Phase: Decode, Region: "r1", Centre: "a", Near: "p3"}, now: start, want: "d3",
 		},
+		"no prefill in another region while near ones work": {
+			query: Query{Service: "s", Phase: Prefill, Near: "d1", Avoid: []string{"p1", "p2"}}, now: start, want: "",
+		},
+		"prefill in another region when the near ones failed": {
+			before: func(p *Picker) { p.Fail(start, "p1"); p.Fail(start, "p2") },
+			query:  Query{Service: "s", Phase: Prefill, Near: "d1"}, now: start, want: "p3", paid: true,
+		},
 		"unknown service": {query: Query{Service: "x", Phase: Prefill}, now: start, want: ""},
 	}
 	for name, tt := range tests {
