Count the prefill's wait when decode memory is chosen

Cause: decode memory is reserved first and fixes the region of the prefill, but its choice did not look at the prefill servers, so a region with a long prefill queue kept its requests. Without the change the new case of TestPick names d1.

--- a/internal/picker/picker_test.go
+++ b/internal/picker/picker_test.go
@@ -116,6 +116,13 @@
 			before: func(p *Picker) { p.Fail(start, "p1"); p.Fail(start, "p2") },
 			query:  Query{Service: "s", Phase: Prefill, Near: "d1"}, now: start, want: "p3", paid: true,
 		},
+		"decode where the prefill that follows is not delayed": {
+			before: func(p *Picker) {
+				p.Observe(start, "p1", busy(time.Second))
+				p.Observe(start, "p2", busy(time.Second))
+			},
+			query: Query{Service: "s", Phase: Decode, Region: "r1", Centre: "a"}, now: start, want: "d3", paid: true,
+		},
 		"unknown service": {query: Query{Service: "x", Phase: Prefill}, now: start, want: ""},
 	}
 	for name, tt := range tests {
--- a/internal/picker/score.go
+++ b/internal/picker/score.go
@@ -86,6 +86,9 @@
 	case n.Centre != from.centre:
 		cost += 2 * p.s.Centres
 	}
+	if q.Phase == Decode && !from.kv {
+		cost += p.prefillWait(now, q, n.Region)
+	}
 	for _, h := range p.hits {
 		if h.node == n {
 			c.Cached = h.pieces
@@ -125,3 +128,16 @@
 
 	return p.s.Prefill / time.Duration(max(n.load.Total, n.Pieces, 1)) * time.Duration(max(q.Pieces, 1))
 }
+
+// prefillWait is the wait at the better of two prefill servers of a region. The
+// prefill follows the decode memory there, because KV cache stays in a region.
+func (p *Picker) prefillWait(now time.Time, q Query, region string) time.Duration {
+	list := p.region[place{q.Service, Prefill, region}]
+	if len(list) == 0 {
+		return p.s.Cross
+	}
+	q.Phase = Prefill
+	i := p.rand.IntN(len(list))
+
+	return min(p.wait(now, q, list[i]), p.wait(now, q, list[(i+1)%len(list)]))
+}
