Keep a repeated ask from waiting twice while a suspect runs alone

A property test with -race found a plain call that was started twice: its Ask was repeated while another request had the server alone, both copies waited, and the second one replaced the attempt after the first had run. A repeated Ask now only takes over the stream.

--- a/internal/attendant/keeper.go
+++ b/internal/attendant/keeper.go
@@ -155,6 +155,11 @@
 
 		return k.take()
 	}
+	if p := k.penned(id); p != nil {
+		p.link = l
+
+		return k.take()
+	}
 	if reason, after := k.reject(now, ask); reason != "" {
 		k.refuse(l, id, reason, after)
 		k.remember(now, id, false)
--- a/internal/attendant/keeper_test.go
+++ b/internal/attendant/keeper_test.go
@@ -331,3 +331,33 @@
 		}
 	})
 }
+
+// Guards against an attempt that runs twice because its Ask was repeated while a
+// suspect had the server alone.
+func TestRepeatedAskWhileIsolated(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		w := newWorld(t, true)
+		ask := func(id string, alone bool) {
+			w.ids = append(w.ids, id)
+			w.do(w.keeper.Ask(w.now, w, &wire.Ask{
+				Id: id, Phase: wire.Phase_PHASE_PLAIN, Due: 5000, Entry: "e1", Epoch: 1, Alone: alone,
+			}))
+		}
+		run := func(id string) {
+			w.do(w.keeper.Dispatch(w.now, w, &wire.Call{Body: &wire.Call_Run{Run: &wire.Run{Id: id}}}))
+		}
+		ask("suspect", true)
+		for range rapid.IntRange(1, 3).Draw(t, "asks") {
+			ask("a", false)
+		}
+		run("suspect")
+		w.end("suspect", true)
+		run("a")
+		w.end("a", true)
+		run("a")
+		if got, want := w.started["a"], 1; got != want {
+			t.Fatalf("runs: got %d, want %d", got, want)
+		}
+		w.settle()
+	})
+}
--- a/internal/attendant/pen.go
+++ b/internal/attendant/pen.go
@@ -72,6 +72,18 @@
 	k.observe.Refused(p.ask.GetRank(), reasonBusy)
 }
 
+// penned returns the waiting ask of an id, or nil. A repeated ask must not wait
+// twice, or its attempt would run twice.
+func (k *keeper) penned(id string) *penned {
+	for _, p := range k.pen {
+		if p.ask.GetId() == id {
+			return p
+		}
+	}
+
+	return nil
+}
+
 func (k *keeper) unpen(id string) {
 	k.pen = slices.DeleteFunc(k.pen, func(p *penned) bool { return p.ask.GetId() == id })
 }
--- a/internal/attendant/rig_test.go
+++ b/internal/attendant/rig_test.go
@@ -174,6 +174,11 @@
 	return &log.Logger{Level: log.FatalLevel, Writer: &log.IOWriter{Writer: io.Discard}}
 }
 
+// logTo shows the agent's log when a test fails.
+func logTo(t *testing.T) *log.Logger {
+	return &log.Logger{Level: log.InfoLevel, Writer: &log.IOWriter{Writer: t.Output()}}
+}
+
 // newSite starts an engine and its agent. The agent's clock is driven by the
 // test; the sockets are real.
 func newSite(t *testing.T, s imitator.EngineSettings) *site {
@@ -210,7 +215,7 @@
 	agent, err := attendant.New(attendant.Settings{
 		Name: "s1", Service: "desk", Region: "kochi", Backend: backend, Phase: phase,
 		Pieces: pieces, Stall: 300 * time.Millisecond,
-	}, attendant.Deps{Timer: h.clock, Log: quiet(), Control: h.control})
+	}, attendant.Deps{Timer: h.clock, Log: logTo(h.t), Control: h.control})
 	if err != nil {
 		h.t.Fatal(err)
 	}
