--- a/internal/dispatcher/track.go
+++ b/internal/dispatcher/track.go
@@ -103,7 +103,7 @@
 }
 
 func (m *Machine) askFor(t *track, a *attempt) Ask {
-	ask := Ask{ID: a.id, Server: a.server, Phase: t.phase, Due: m.due(), Cost: m.req.Stream}
+	ask := Ask{ID: a.id, Server: a.server, Phase: t.phase, Due: m.due(), Cost: m.req.Stream, Alone: m.crashes > 0}
 	switch t.phase {
 	case wire.Phase_PHASE_DECODE:
 		ask.Pieces = m.req.Pieces
@@ -169,6 +169,12 @@
 
 // refuse ends a request that found no grant.
 func (m *Machine) refuse(t *track) {
+	if t == &m.decode && m.paths > 0 && m.prefill.step == stepReady {
+		// There is no second path, so a second prefill is what remains.
+		m.restart(t, t.reason, true)
+
+		return
+	}
 	status, reason := statusUnavailable, "no server can take the request"
 	if t.reason != "" {
 		reason += ": " + t.reason
