Let suspects run on a busy server, one at a time

A suspect waited for an idle server and was refused after 2 s, so on a loaded fleet every neighbour of a crash was refused by each server. It now runs alone if the server becomes idle within 2 s, and otherwise as the only suspect beside others. A second crash still names one digest, because the crash record reports those with the most crashes, and the entry's Ask tells a server of a crash elsewhere.

--- a/internal/attendant/dispatch.go
+++ b/internal/attendant/dispatch.go
@@ -85,7 +85,7 @@
 func (k *keeper) begin(now time.Time, a *attempt, to stage) {
 	a.sent = true
 	k.move(now, a, to)
-	k.blamer.Start(a.digest)
+	k.blamer.Start(now, a.digest, a.suspect)
 	k.do(action{
 		kind: actStart, id: a.id, call: a.call, pieces: a.pieces, rank: a.rank,
 		offset: int64(len(a.chunks)),
--- a/internal/attendant/finish.go
+++ b/internal/attendant/finish.go
@@ -41,7 +41,8 @@
 
 		return k.take()
 	}
-	k.blamer.End(a.digest, a.alone)
+	// A suspect is cleared at its end; a transfer alone proves nothing.
+	k.blamer.End(a.digest, a.suspect && !o.imported)
 	switch {
 	case o.prefilled != nil:
 		k.move(now, a, stageReady)
--- a/internal/attendant/keeper.go
+++ b/internal/attendant/keeper.go
@@ -49,7 +49,7 @@
 	stage                                stage
 	began, since                         time.Time
 	link                                 link
-	alone                                bool
+	suspect                              bool          // was in flight at a crash
 	sent                                 bool          // work was handed to the backend server
 	crashed                              bool          // the service crashed while the plain call ran
 	call                                 *wire.Call    // dispatch that is held or runs
@@ -216,13 +216,13 @@
 }
 
 // submit passes an ask on to the grant queue.
-func (k *keeper) submit(now time.Time, l link, ask *wire.Ask, due time.Time, alone bool) {
+func (k *keeper) submit(now time.Time, l link, ask *wire.Ask, due time.Time, suspect bool) {
 	a := &attempt{
 		id: ask.GetId(), request: ask.GetRequest(), caller: ask.GetCaller(),
 		service: ask.GetService(), digest: ask.GetDigest(),
 		entry: leaseName(ask.GetEntry(), ask.GetEpoch()),
 		phase: ask.GetPhase(), rank: ask.GetRank(), pieces: ask.GetPieces(),
-		stage: stageQueued, began: now, since: now, link: l, alone: alone,
+		stage: stageQueued, began: now, since: now, link: l, suspect: suspect,
 	}
 	if k.s.plain {
 		a.pieces = 1
--- a/internal/attendant/keeper_test.go
+++ b/internal/attendant/keeper_test.go
@@ -19,7 +19,8 @@
 // world is a keeper with a fake backend server of which the test knows exactly
 // what it holds, what was started and what the entries were told.
 type world struct {
-	t       *rapid.T
+	t       failer
+	r       *rapid.T // draws the events of a random sequence
 	now     time.Time
 	keeper  *keeper
 	queue   *granter.Granter
@@ -33,6 +34,12 @@
 	notRun  map[string]bool // told that it did not run and never will
 }
 
+// failer is the part of a test that a world needs.
+type failer interface {
+	Fatal(args ...any)
+	Fatalf(format string, args ...any)
+}
+
 // Send implements link for every stream.
 func (w *world) Send(r *wire.Reply) {
 	if d := r.GetWithdrawn(); d != nil && !d.GetRan() {
@@ -50,7 +57,7 @@
 func (silent) Ended(*attempt, string, time.Duration) {}
 func (silent) Crashed()                              {}
 
-func newWorld(t *rapid.T, plain bool) *world {
+func newWorld(t failer, plain bool) *world {
 	s := granter.Defaults(testPieces)
 	if plain {
 		s.Slots = testPieces
@@ -126,34 +133,35 @@
 		return "none"
 	}
 
-	return rapid.SampledFrom(w.ids).Draw(w.t, "id")
+	return rapid.SampledFrom(w.ids).Draw(w.r, "id")
 }
 
 func (w *world) ask(*rapid.T) {
 	id := "a" + strconv.Itoa(w.next)
-	if rapid.Bool().Draw(w.t, "new") || len(w.ids) == 0 {
+	if rapid.Bool().Draw(w.r, "new") || len(w.ids) == 0 {
 		w.next++
 		w.ids = append(w.ids, id)
 	} else {
 		id = w.pick()
 	}
-	phase := rapid.SampledFrom([]wire.Phase{wire.Phase_PHASE_PREFILL, wire.Phase_PHASE_DECODE}).Draw(w.t, "phase")
+	phase := rapid.SampledFrom([]wire.Phase{wire.Phase_PHASE_PREFILL, wire.Phase_PHASE_DECODE}).Draw(w.r, "phase")
 	if w.plain {
 		phase = wire.Phase_PHASE_PLAIN
 	}
 	w.do(w.keeper.Ask(w.now, w, &wire.Ask{
 		Id: id, Phase: phase, Due: 5000, Cost: 100_000,
-		Entry: rapid.SampledFrom([]string{"e1", "e2"}).Draw(w.t, "entry"), Epoch: 1,
-		Hold:   rapid.SampledFrom([]int64{0, 500_000}).Draw(w.t, "hold"),
-		Pieces: rapid.Int64Range(1, testPieces).Draw(w.t, "pieces"),
-		Rank:   rapid.Int32Range(0, 2).Draw(w.t, "rank"),
-		Digest: rapid.SampledFrom([]string{"x", "y", "z"}).Draw(w.t, "digest"),
+		Entry: rapid.SampledFrom([]string{"e1", "e2"}).Draw(w.r, "entry"), Epoch: 1,
+		Hold:   rapid.SampledFrom([]int64{0, 500_000}).Draw(w.r, "hold"),
+		Pieces: rapid.Int64Range(1, testPieces).Draw(w.r, "pieces"),
+		Rank:   rapid.Int32Range(0, 2).Draw(w.r, "rank"),
+		Digest: rapid.SampledFrom([]string{"x", "y", "z"}).Draw(w.r, "digest"),
+		Alone:  rapid.IntRange(0, 9).Draw(w.r, "alone") == 0,
 	}))
 }
 
 func (w *world) dispatch(*rapid.T) {
 	id := w.pick()
-	if rapid.Bool().Draw(w.t, "granted") {
+	if rapid.Bool().Draw(w.r, "granted") {
 		// Half of the dispatches go to the newest grant, so that enough run.
 		for i := len(w.ids) - 1; i >= 0; i-- {
 			if a := w.keeper.attempts[w.ids[i]]; a != nil && a.stage == stageGranted {
@@ -171,7 +179,7 @@
 	if w.plain {
 		calls = []*wire.Call{{Body: &wire.Call_Run{Run: &wire.Run{Id: id}}}}
 	}
-	w.do(w.keeper.Dispatch(w.now, w, rapid.SampledFrom(calls).Draw(w.t, "call")))
+	w.do(w.keeper.Dispatch(w.now, w, rapid.SampledFrom(calls).Draw(w.r, "call")))
 }
 
 func (w *world) withdraw(*rapid.T) {
@@ -188,8 +196,8 @@
 		return
 	}
 	slices.Sort(ids)
-	id := rapid.SampledFrom(ids).Draw(w.t, "running")
-	w.end(id, rapid.Bool().Draw(w.t, "ok"))
+	id := rapid.SampledFrom(ids).Draw(w.r, "running")
+	w.end(id, rapid.Bool().Draw(w.r, "ok"))
 }
 
 func (w *world) end(id string, ok bool) {
@@ -242,8 +250,8 @@
 }
 
 func (w *world) tick(*rapid.T) {
-	w.now = w.now.Add(time.Duration(rapid.IntRange(1, 1500).Draw(w.t, "ms")) * time.Millisecond)
-	if rapid.Bool().Draw(w.t, "renew") {
+	w.now = w.now.Add(time.Duration(rapid.IntRange(1, 1500).Draw(w.r, "ms")) * time.Millisecond)
+	if rapid.Bool().Draw(w.r, "renew") {
 		w.keeper.Renew(w.now, "e1", 1)
 	}
 	w.do(w.keeper.Tick(w.now))
@@ -292,6 +300,7 @@
 		t.Run(name, func(t *testing.T) {
 			rapid.Check(t, func(t *rapid.T) {
 				w := newWorld(t, plain)
+				w.r = t
 				t.Repeat(map[string]func(*rapid.T){
 					"ask": w.ask, "ask again": w.ask, "dispatch": w.dispatch, "dispatch again": w.dispatch,
 					"withdraw": w.withdraw, "finish": w.finish, "confirm": w.confirm,
@@ -305,59 +314,89 @@
 
 // Guards against memory that is granted again while the engine still holds it.
 func TestGrantAfterConfirmation(t *testing.T) {
-	rapid.Check(t, func(t *rapid.T) {
-		w := newWorld(t, false)
-		ask := func(id string) *wire.Ask {
-			return &wire.Ask{Id: id, Phase: wire.Phase_PHASE_PREFILL, Due: 5000, Pieces: testPieces, Entry: id, Epoch: 1}
-		}
-		w.do(w.keeper.Ask(w.now, w, ask("a")))
-		w.do(w.keeper.Dispatch(w.now, w, &wire.Call{Body: &wire.Call_Prefill{Prefill: &wire.Prefill{Id: "a"}}}))
-		switch rapid.SampledFrom([]string{"withdraw", "fail", "lease"}).Draw(t, "end") {
-		case "withdraw":
-			w.do(w.keeper.Withdraw(w.now, w, &wire.Withdraw{Id: "a"}))
-		case "fail":
-			w.end("a", false)
-		default:
+	ends := map[string]func(w *world){
+		"withdrawn": func(w *world) { w.do(w.keeper.Withdraw(w.now, w, &wire.Withdraw{Id: "a"})) },
+		"failed":    func(w *world) { w.end("a", false) },
+		"lease": func(w *world) {
 			w.now = w.now.Add(4 * time.Second)
 			w.do(w.keeper.Tick(w.now))
-		}
-		w.do(w.keeper.Ask(w.now, w, ask("b")))
-		if got, want := w.keeper.attempts["b"].stage, stageQueued; got != want {
-			t.Fatalf("before the confirmation: got %s, want %s", got, want)
-		}
-		w.do(w.keeper.Cancelled(w.now, "a"))
-		if got, want := w.keeper.attempts["b"].stage, stageGranted; got != want {
-			t.Fatalf("after the confirmation: got %s, want %s", got, want)
-		}
-	})
+		},
+	}
+	for name, end := range ends {
+		t.Run(name, func(t *testing.T) {
+			w := newWorld(t, false)
+			ask := func(id string) *wire.Ask {
+				return &wire.Ask{Id: id, Phase: wire.Phase_PHASE_PREFILL, Due: 5000, Pieces: testPieces, Entry: id, Epoch: 1}
+			}
+			w.do(w.keeper.Ask(w.now, w, ask("a")))
+			w.do(w.keeper.Dispatch(w.now, w, &wire.Call{Body: &wire.Call_Prefill{Prefill: &wire.Prefill{Id: "a"}}}))
+			end(w)
+			w.do(w.keeper.Ask(w.now, w, ask("b")))
+			if got, want := w.keeper.attempts["b"].stage, stageQueued; got != want {
+				t.Fatalf("before the confirmation: got %s, want %s", got, want)
+			}
+			w.do(w.keeper.Cancelled(w.now, "a"))
+			if got, want := w.keeper.attempts["b"].stage, stageGranted; got != want {
+				t.Fatalf("after the confirmation: got %s, want %s", got, want)
+			}
+		})
+	}
 }
 
 // Guards against an attempt that runs twice because its Ask was repeated while a
 // suspect had the server alone.
 func TestRepeatedAskWhileIsolated(t *testing.T) {
-	rapid.Check(t, func(t *rapid.T) {
-		w := newWorld(t, true)
-		ask := func(id string, alone bool) {
-			w.ids = append(w.ids, id)
-			w.do(w.keeper.Ask(w.now, w, &wire.Ask{
-				Id: id, Phase: wire.Phase_PHASE_PLAIN, Due: 5000, Entry: "e1", Epoch: 1, Alone: alone,
-			}))
-		}
-		run := func(id string) {
-			w.do(w.keeper.Dispatch(w.now, w, &wire.Call{Body: &wire.Call_Run{Run: &wire.Run{Id: id}}}))
-		}
-		ask("suspect", true)
-		for range rapid.IntRange(1, 3).Draw(t, "asks") {
-			ask("a", false)
-		}
-		run("suspect")
-		w.end("suspect", true)
-		run("a")
-		w.end("a", true)
-		run("a")
-		if got, want := w.started["a"], 1; got != want {
-			t.Fatalf("runs: got %d, want %d", got, want)
+	w := newWorld(t, true)
+	ask := func(id string, alone bool) {
+		w.ids = append(w.ids, id)
+		w.do(w.keeper.Ask(w.now, w, &wire.Ask{
+			Id: id, Phase: wire.Phase_PHASE_PLAIN, Due: 5000, Entry: "e1", Epoch: 1, Alone: alone,
+		}))
+	}
+	run := func(id string) {
+		w.do(w.keeper.Dispatch(w.now, w, &wire.Call{Body: &wire.Call_Run{Run: &wire.Run{Id: id}}}))
+	}
+	ask("suspect", true)
+	for range 3 {
+		ask("a", false)
+	}
+	run("suspect")
+	w.end("suspect", true)
+	run("a")
+	w.end("a", true)
+	run("a")
+	if got, want := w.started["a"], 1; got != want {
+		t.Fatalf("runs: got %d, want %d", got, want)
+	}
+	w.settle()
+}
+
+// Guards against suspects that starve on a busy server, that run beside each
+// other, and against a second crash that is counted against a neighbour.
+func TestSuspectOnBusyServer(t *testing.T) {
+	w := newWorld(t, true)
+	ask := func(id string, alone bool) {
+		w.ids = append(w.ids, id)
+		w.do(w.keeper.Ask(w.now, w, &wire.Ask{
+			Id: id, Phase: wire.Phase_PHASE_PLAIN, Due: 60_000, Entry: "e1", Epoch: 1, Alone: alone, Digest: id,
+		}))
+	}
+	ask("neighbour", false)
+	w.do(w.keeper.Dispatch(w.now, w, &wire.Call{Body: &wire.Call_Run{Run: &wire.Run{Id: "neighbour"}}}))
+	ask("first", true)
+	ask("second", true)
+	if got, want := len(w.keeper.attempts), 1; got != want {
+		t.Fatalf("at once: got %d attempts, want %d", got, want)
+	}
+	w.now = w.now.Add(time.Second)
+	w.do(w.keeper.Tick(w.now))
+	if w.keeper.attempts["first"] == nil || w.keeper.attempts["second"] != nil {
+		t.Fatalf("after the wait: got %v, want the first suspect only", w.keeper.sorted())
+	}
+	w.do(w.keeper.Dispatch(w.now, w, &wire.Call{Body: &wire.Call_Run{Run: &wire.Run{Id: "first"}}}))
+	for _, a := range w.keeper.Down(w.now) {
+		if a.kind == actBlame && !slices.Equal(a.digests, []string{"first"}) {
+			t.Fatalf("blamed: got %v, want the suspect only", a.digests)
 		}
-		w.settle()
-	})
+	}
 }
--- a/internal/attendant/pen.go
+++ b/internal/attendant/pen.go
@@ -7,33 +7,27 @@
 	"github.com/damasklever/damasklever/internal/wire"
 )
 
-// penned is an ask that waits because a suspect runs alone, or a suspect that
-// waits for an idle server.
+// penned is an ask that waits because a suspect has the server alone, or that
+// is a suspect itself.
 type penned struct {
-	ask   *wire.Ask
-	link  link
-	alone bool
-	due   time.Time // end of the wait
-	until time.Time // the ask's own due time
+	ask     *wire.Ask
+	link    link
+	suspect bool
+	alone   time.Time // end of a suspect's wait for an idle server
+	due     time.Time // of the ask
 }
 
 // enter submits an ask, or keeps it while a suspect has the server alone. A
-// digest that was in flight at a crash runs alone, so that a second crash names
-// it and not its neighbours.
+// digest that was in flight at a crash runs alone if the server becomes idle
+// soon, and otherwise as the only suspect beside others: a second crash then
+// names it and not its neighbours.
 func (k *keeper) enter(now time.Time, l link, ask *wire.Ask) {
-	due := now.Add(time.Duration(ask.GetDue()) * time.Millisecond)
-	alone := ask.GetAlone() || k.blamer.Suspect(now, ask.GetDigest())
-	switch {
-	case alone && !k.idle():
-		k.pen = append(k.pen, &penned{ask: ask, link: l, alone: true, until: due, due: earliest(due, now.Add(k.s.isolate))})
-	case alone:
-		k.solo = ask.GetId()
-		k.submit(now, l, ask, due, true)
-	case k.solo != "":
-		k.pen = append(k.pen, &penned{ask: ask, link: l, due: due, until: due})
-	default:
-		k.submit(now, l, ask, due, false)
-	}
+	k.pen = append(k.pen, &penned{
+		ask: ask, link: l, alone: now.Add(k.s.isolate),
+		due:     now.Add(time.Duration(ask.GetDue()) * time.Millisecond),
+		suspect: ask.GetAlone() || k.blamer.Suspect(now, ask.GetDigest()),
+	})
+	k.admitPen(now)
 }
 
 // idle reports whether no attempt waits for or has a part of the server.
@@ -47,21 +41,36 @@
 	return true
 }
 
+// suspectActive reports whether a suspect waits for or has a part of the server.
+func (k *keeper) suspectActive() bool {
+	for _, a := range k.attempts {
+		if a.suspect && a.active() {
+			return true
+		}
+	}
+
+	return false
+}
+
 // admitPen submits what no longer has to wait.
 func (k *keeper) admitPen(now time.Time) {
 	waiting := k.pen
 	k.pen = nil
-	for i, p := range waiting {
+	for _, p := range waiting {
 		switch {
 		case now.After(p.due):
 			k.refusePenned(now, p)
-		case p.alone && k.solo == "" && k.idle():
+		case k.solo != "":
+			k.pen = append(k.pen, p)
+		case !p.suspect:
+			k.submit(now, p.link, p.ask, p.due, false)
+		case k.idle():
 			k.solo = p.ask.GetId()
-			k.submit(now, p.link, p.ask, p.until, true)
-		case !p.alone && k.solo == "":
-			k.submit(now, p.link, p.ask, p.until, false)
+			k.submit(now, p.link, p.ask, p.due, true)
+		case !now.Before(p.alone) && !k.suspectActive():
+			k.submit(now, p.link, p.ask, p.due, true)
 		default:
-			k.pen = append(k.pen, waiting[i])
+			k.pen = append(k.pen, p)
 		}
 	}
 }
@@ -87,11 +96,3 @@
 func (k *keeper) unpen(id string) {
 	k.pen = slices.DeleteFunc(k.pen, func(p *penned) bool { return p.ask.GetId() == id })
 }
-
-func earliest(a, b time.Time) time.Time {
-	if a.Before(b) {
-		return a
-	}
-
-	return b
-}
--- a/internal/blamer/blamer.go
+++ b/internal/blamer/blamer.go
@@ -13,7 +13,7 @@
 // Settings of a Blamer.
 type Settings struct {
 	// Suspicion is the time after a crash during which a digest that was in
-	// flight runs alone.
+	// flight is a suspect.
 	Suspicion time.Duration
 	// Retention is the time for which a crash counts.
 	Retention time.Duration
@@ -46,7 +46,7 @@
 type record struct {
 	crashes int
 	last    time.Time
-	cleared bool // ran alone to its end since the last crash
+	cleared bool // ran as a suspect to its end since the last crash
 }
 
 // Blamer is the crash record. Use New.
@@ -65,21 +65,27 @@
 	return &Blamer{settings: s, running: make(map[string]int), records: make(map[string]*record)}, nil
 }
 
-// Start notes that work of the digest was handed to the backend server. Work
-// without a digest is not recorded.
-func (b *Blamer) Start(digest string) {
-	if digest != "" {
-		b.running[digest]++
+// Start notes that work of the digest was handed to the backend server. A
+// suspect was in flight at a crash, here or at another server. Work without a
+// digest is not recorded.
+func (b *Blamer) Start(now time.Time, digest string, suspect bool) {
+	if digest == "" {
+		return
+	}
+	b.running[digest]++
+	if r := b.records[digest]; suspect && (r == nil || r.crashes == 0) {
+		b.records[digest] = &record{crashes: 1, last: now}
+		b.trim()
 	}
 }
 
-// End notes that the work ended without a crash. If it ran alone to its end,
-// the digest is no longer a suspect.
-func (b *Blamer) End(digest string, alone bool) {
+// End notes that the work ended without a crash. A suspect that is cleared
+// counts as if it had not been in flight before.
+func (b *Blamer) End(digest string, cleared bool) {
 	if b.running[digest]--; b.running[digest] <= 0 {
 		delete(b.running, digest)
 	}
-	if r := b.records[digest]; r != nil && alone {
+	if r := b.records[digest]; r != nil && cleared {
 		r.crashes, r.cleared = 0, true
 	}
 }
@@ -87,8 +93,8 @@
 // Crash records a crash and returns the digests to report, those that were in
 // flight at the most crashes so far: after a first crash all, later the repeated
 // ones. Control blocks a digest at its second report. Every digest that was in
-// flight becomes a suspect, so that a second crash finds it alone and does not
-// count against its neighbours.
+// flight becomes a suspect. Suspects do not run beside each other, so that a second
+// crash names one digest and does not count against its neighbours.
 func (b *Blamer) Crash(now time.Time) []string {
 	b.prune(now)
 	var digests []string
@@ -116,7 +122,7 @@
 	})
 }
 
-// Suspect reports whether work of the digest must run alone.
+// Suspect reports whether work of the digest must not run beside other suspects.
 func (b *Blamer) Suspect(now time.Time, digest string) bool {
 	r := b.records[digest]
 
@@ -126,7 +132,7 @@
 // Running returns the number of digests in flight.
 func (b *Blamer) Running() int { return len(b.running) }
 
-// Suspects lists the digests that must run alone, sorted.
+// Suspects lists the suspects, sorted.
 func (b *Blamer) Suspects(now time.Time) []string {
 	var list []string
 	for digest := range b.records {
--- a/internal/blamer/blamer_test.go
+++ b/internal/blamer/blamer_test.go
@@ -23,7 +23,7 @@
 // crash runs the digests together until the server crashes.
 func crash(b *blamer.Blamer, at time.Duration, digests ...string) []string {
 	for _, d := range digests {
-		b.Start(d)
+		b.Start(start.Add(at), d, false)
 	}
 
 	return b.Crash(start.Add(at))
@@ -46,21 +46,21 @@
 			return crash(b, time.Second, "p", "j", "k")
 		}, []string{"p"}},
 		"ended before": {func(b *blamer.Blamer) []string {
-			b.Start("i")
+			b.Start(start, "i", false)
 			b.End("i", false)
 
 			return crash(b, 0, "p")
 		}, []string{"p"}},
 		"twice in flight, one ended": {func(b *blamer.Blamer) []string {
-			b.Start("i")
-			b.Start("i")
+			b.Start(start, "i", false)
+			b.Start(start, "i", false)
 			b.End("i", false)
 
 			return crash(b, 0, "p")
 		}, []string{"i", "p"}},
 		"cleared": {func(b *blamer.Blamer) []string {
 			crash(b, 0, "p", "i")
-			b.Start("i")
+			b.Start(start, "i", false)
 			b.End("i", true)
 
 			return crash(b, time.Second, "i", "p")
@@ -70,6 +70,17 @@
 
 			return crash(b, 2*time.Hour, "p", "j")
 		}, []string{"j", "p"}},
+		"suspect of another server": {func(b *blamer.Blamer) []string {
+			b.Start(start, "p", true)
+
+			return crash(b, 0, "i", "j")
+		}, []string{"p"}},
+		"suspect cleared before": {func(b *blamer.Blamer) []string {
+			b.Start(start, "i", true)
+			b.End("i", true)
+
+			return crash(b, 0, "i", "p")
+		}, []string{"i", "p"}},
 		"nothing in flight": {func(b *blamer.Blamer) []string { return crash(b, 0) }, nil},
 	}
 	for name, test := range tests {
@@ -89,7 +100,7 @@
 	if !b.Suspect(start.Add(time.Second), "i") || b.Suspect(start, "other") {
 		t.Error("got the wrong suspects, want those in flight")
 	}
-	b.Start("i")
+	b.Start(start, "i", false)
 	b.End("i", true)
 	if got, want := b.Suspects(start.Add(time.Second)), []string{"p"}; !slices.Equal(got, want) {
 		t.Errorf("suspects: got %v, want %v", got, want)
