Register the role that an engine really has

A role order changes the server's registration, but the subscriber attaches with the role from the agent's start, so a new connection to control turned the role back; so did a restart of the agent, which attached with the role from its settings. The agent now reads the engine's role before it attaches and when the engine has restarted, and registers again when the view differs. The subscriber cannot be told of a new role while it runs, so a wrong role lasts for one update after a reconnection.

--- a/internal/attendant/attendant.go
+++ b/internal/attendant/attendant.go
@@ -18,6 +18,7 @@
 	"github.com/damasklever/damasklever/internal/granter"
 	"github.com/damasklever/damasklever/internal/messenger"
 	"github.com/damasklever/damasklever/internal/timer"
+	"github.com/damasklever/damasklever/internal/wire"
 )
 
 const (
@@ -60,7 +61,14 @@
 	stops  []func()    // of the timers
 	away   atomic.Bool // drained or ending
 
+	// attachment is what the subscriber registers. It changes only before the
+	// subscriber has started.
+	attachment *wire.Attach
+	kick       chan struct{} // wakes followOrders
+	roles      int           // registrations of a changed role, by followOrders
+
 	mu         sync.Mutex // guards all below
+	phase      string     // current role of an engine
 	keeper     *keeper
 	queue      *granter.Granter
 	fencer     *fencer.Fencer
@@ -98,6 +106,7 @@
 		settings: s, deps: d, epoch: newEpoch(d.Timer.Now()), queue: queue,
 		fencer: fencer.New(), meter: newMeter(s), backend: driver.New(s.Backend, s.Stall),
 		ready: make(chan struct{}), done: make(chan struct{}),
+		phase: s.Phase, kick: make(chan struct{}, 1), control: alone{},
 		operations: make(map[string]*operation), watchers: make(map[*outbox]struct{}),
 		boxes: make(map[*outbox]struct{}), prefixes: make(map[uint64]struct{}),
 		orders: make(map[string]string),
@@ -145,6 +154,7 @@
 		return errors.Newf("start agent: %w", err)
 	}
 	a.listener = listener
+	a.attachment = a.attach()
 	control, err := a.connect(a.deps.Timer)
 	if err != nil {
 		_ = listener.Close()
@@ -181,6 +191,9 @@
 	case <-ctx.Done():
 		return
 	}
+	a.mu.Lock()
+	a.attachment.Phase = a.phase
+	a.mu.Unlock()
 	a.control.Start()
 	a.work.Go(func() { a.follow(ctx) })
 	a.work.Go(func() { a.followOrders(ctx) })
@@ -260,9 +273,7 @@
 			_ = a.listener.Close()
 		}
 		a.work.Wait()
-		if a.control != nil {
-			a.control.Close()
-		}
+		a.control.Close()
 		a.backend.Close()
 		close(a.done)
 	})
--- a/internal/attendant/control.go
+++ b/internal/attendant/control.go
@@ -81,7 +81,7 @@
 	}
 	s, err := subscriber.New(subscriber.Settings{
 		Hosts:  a.settings.Control,
-		Attach: a.attach(),
+		Attach: a.attachment,
 		// The subscriber may hold its own lock here, and the agent reads the
 		// view under its lock, so this must not take it.
 		Leaving: a.away.Load,
@@ -96,10 +96,12 @@
 
 func (a *Attendant) attach() *wire.Attach {
 	s := a.settings
+	a.mu.Lock()
+	defer a.mu.Unlock()
 
 	return &wire.Attach{
 		Name: s.Name, Role: "agent", Addr: a.Addr(), Region: s.Region, Centre: s.Centre,
-		Service: s.Service, Phase: s.Phase, Pieces: s.Pieces, Epoch: a.epoch,
+		Service: s.Service, Phase: a.phase, Pieces: s.Pieces, Epoch: a.epoch,
 	}
 }
 
@@ -118,10 +120,12 @@
 
 // apply takes the operators' settings for this server from a view.
 func (a *Attendant) apply(v View) {
-	settings := queueSettings(a.settings, v)
 	server := v.Server(a.settings.Name)
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	current := a.settings
+	current.Phase = a.phase
+	settings := queueSettings(current, v)
 	now := a.deps.Timer.Now()
 	if decisions, err := a.queue.Configure(now, settings); err != nil {
 		a.deps.Log.Warn().Err(err).Str("server", a.settings.Name).Msg("ranks")
--- a/internal/attendant/order_test.go
+++ b/internal/attendant/order_test.go
@@ -87,3 +87,28 @@
 	h.reported("a", "done")
 	h.awaitEngine(func(c imitator.Counters) bool { return c.Orders == 1 })
 }
+
+// Guards against a role that an order has changed and that a new connection to
+// control, or a restart of the agent, turns back in the configuration.
+func TestRoleIsKept(t *testing.T) {
+	h := newSite(t, fast("decode"))
+	h.control.set(h.server(3, order("a", 3, "prefill")))
+	h.reported("a", "done")
+	back := func() {
+		old := h.server(3)
+		old.Phase = "decode"
+		h.control.set(old)
+		epoch := h.agent.Epoch()
+		cmd := h.control.await(t, func(c *wire.Command) bool {
+			return c.GetRegister().GetAttach().GetEpoch() == epoch && !c.GetRegister().GetGone()
+		})
+		if got, want := cmd.GetRegister().GetAttach().GetPhase(), "prefill"; got != want {
+			t.Errorf("role: got %s, want %s", got, want)
+		}
+	}
+	back()
+	h.control.set(h.server(3))
+	_ = h.agent.Close()
+	h.start(h.engine.Addr(), "decode", 8)
+	back()
+}
--- a/internal/attendant/orders.go
+++ b/internal/attendant/orders.go
@@ -33,13 +33,32 @@
 		for _, order := range a.learn(a.control.View()) {
 			a.carryOutOrder(ctx, order)
 		}
+		a.correctRole(ctx)
 		select {
 		case <-changed:
+		case <-a.kick:
 		case <-ctx.Done():
 		}
 	}
 }
 
+// correctRole registers the engine's role again if the view has another one, as
+// after a new connection of the subscriber, which attaches with the role at the
+// agent's start.
+func (a *Attendant) correctRole(ctx context.Context) {
+	server := a.control.View().Server(a.settings.Name)
+	attach := a.attach()
+	if server.GetEpoch() != a.epoch || server.GetPhase() == "" || server.GetPhase() == attach.GetPhase() {
+		return
+	}
+	a.roles++
+	a.report(ctx, &wire.Command{
+		Id:  "role/" + a.settings.Name + "/" + strconv.FormatUint(a.epoch, 10) + "/" + strconv.Itoa(a.roles),
+		Who: a.settings.Name, Expect: -1,
+		Body: &wire.Command_Register{Register: &wire.Register{Attach: attach}},
+	})
+}
+
 // learn takes the current token and the open orders from a view. The view was
 // confirmed by a quorum after this agent's start if it holds the registration of
 // this start, since that went through the log; only then is the token current.
@@ -95,6 +114,9 @@
 		}
 		a.mu.Lock()
 		a.fencer.Finish(id, result)
+		if order.GetVerb() == "role" && result.State == stateDone {
+			a.phase = order.GetSubject()
+		}
 		a.mu.Unlock()
 		a.deps.Log.Info().Str("server", a.settings.Name).Str("order", id).
 			Str("state", result.State).Str("reason", result.Reason).Msg("order")
--- a/internal/attendant/rig_test.go
+++ b/internal/attendant/rig_test.go
@@ -87,6 +87,11 @@
 		})
 		c.server = server
 	}
+	if r := cmd.GetRegister(); r != nil && c.server != nil {
+		server, _ := proto.Clone(c.server).(*wire.Server)
+		server.Phase = r.GetAttach().GetPhase()
+		c.server = server
+	}
 	c.announce()
 
 	return &wire.Result{Outcome: wire.Outcome_OUTCOME_DONE}, nil
--- a/internal/attendant/watcher.go
+++ b/internal/attendant/watcher.go
@@ -91,6 +91,7 @@
 				continue
 			}
 			boot = b
+			a.readRole(ctx)
 			a.up()
 		}
 		err := a.followEngine(ctx, boot)
@@ -189,6 +190,22 @@
 	}
 }
 
+// readRole takes the role that the engine has, which an order or a restart of
+// the engine may have changed since the settings were written.
+func (a *Attendant) readRole(ctx context.Context) {
+	load, err := a.backend.Load(ctx)
+	if err != nil || (load.Role != phasePrefill && load.Role != phaseDecode) {
+		return
+	}
+	a.mu.Lock()
+	a.phase, a.rate = load.Role, rateOf(load)
+	a.mu.Unlock()
+	select {
+	case a.kick <- struct{}{}:
+	default:
+	}
+}
+
 // sweep cancels what the engine holds without an attempt, and reads its rate.
 func (a *Attendant) sweep(ctx context.Context) {
 	if a.settings.Phase == phasePlain || !a.isUp() {
--- a/internal/imitator/cache.go
+++ b/internal/imitator/cache.go
@@ -123,6 +123,7 @@
 		}
 		load = sample.load
 	}
+	load.Role = l.engine.role
 
 	return load
 }
