--- a/internal/attendant/rig_test.go
+++ b/internal/attendant/rig_test.go
@@ -87,6 +87,11 @@
 		})
 		c.server = server
 	}
+	if r := cmd.GetRegister(); r != nil && c.server != nil {
+		server, _ := proto.Clone(c.server).(*wire.Server)
+		server.Phase = r.GetAttach().GetPhase()
+		c.server = server
+	}
 	c.announce()
 
 	return &wire.Result{Outcome: wire.Outcome_OUTCOME_DONE}, nil
@@ -160,6 +165,7 @@
 	agent   *attendant.Attendant
 	session *messenger.Session
 	hello   *exchange
+	last    func() // ends what else a test holds
 }
 
 func fast(role string) imitator.EngineSettings {
@@ -174,6 +180,11 @@
 	return &log.Logger{Level: log.FatalLevel, Writer: &log.IOWriter{Writer: io.Discard}}
 }
 
+// logTo shows the agent's log when a test fails.
+func logTo(t *testing.T) *log.Logger {
+	return &log.Logger{Level: log.InfoLevel, Writer: &log.IOWriter{Writer: t.Output()}}
+}
+
 // newSite starts an engine and its agent. The agent's clock is driven by the
 // test; the sockets are real.
 func newSite(t *testing.T, s imitator.EngineSettings) *site {
@@ -210,7 +221,7 @@
 	agent, err := attendant.New(attendant.Settings{
 		Name: "s1", Service: "desk", Region: "kochi", Backend: backend, Phase: phase,
 		Pieces: pieces, Stall: 300 * time.Millisecond,
-	}, attendant.Deps{Timer: h.clock, Log: quiet(), Control: h.control})
+	}, attendant.Deps{Timer: h.clock, Log: logTo(h.t), Control: h.control})
 	if err != nil {
 		h.t.Fatal(err)
 	}
--- a/internal/attendant/watcher.go
+++ b/internal/attendant/watcher.go
@@ -13,6 +13,10 @@
 	// bootTimeout bounds the check whether a server whose watch stream broke
 	// still runs.
 	bootTimeout = 500 * time.Millisecond
+	// bootTries is the number of such checks before a server that accepts
+	// connections but does not answer counts as crashed. A busy machine must not
+	// be taken for a crash.
+	bootTries = 4
 	// probeInterval is the time between two checks of a plain service.
 	probeInterval = time.Second
 	// reviveInterval is the time between checks while the server is down.
@@ -87,18 +91,38 @@
 				continue
 			}
 			boot = b
+			a.readRole(ctx)
 			a.up()
 		}
 		err := a.followEngine(ctx, boot)
 		if ctx.Err() != nil {
 			return
 		}
-		if now, bootErr := a.boot(ctx); errors.Is(err, errBoot) || bootErr != nil || now != boot {
+		if errors.Is(err, errBoot) || a.hasCrashed(ctx, boot) {
 			a.down()
 		}
 	}
 }
 
+// hasCrashed tells a crash from a lost watch stream: nothing listens any more,
+// the engine has another start number, or it does not answer at all.
+func (a *Attendant) hasCrashed(ctx context.Context, boot int64) bool {
+	for range bootTries {
+		now, err := a.boot(ctx)
+		if err == nil {
+			return now != boot
+		}
+		if ctx.Err() != nil {
+			return false
+		}
+		if errors.Is(err, driver.ErrDown) {
+			return true
+		}
+	}
+
+	return true
+}
+
 // followEngine passes events on until the stream breaks or shows another start.
 func (a *Attendant) followEngine(ctx context.Context, boot int64) error {
 	ctx, cancel := context.WithCancel(ctx)
@@ -166,6 +190,22 @@
 	}
 }
 
+// readRole takes the role that the engine has, which an order or a restart of
+// the engine may have changed since the settings were written.
+func (a *Attendant) readRole(ctx context.Context) {
+	load, err := a.backend.Load(ctx)
+	if err != nil || (load.Role != phasePrefill && load.Role != phaseDecode) {
+		return
+	}
+	a.mu.Lock()
+	a.phase, a.rate = load.Role, rateOf(load)
+	a.mu.Unlock()
+	select {
+	case a.kick <- struct{}{}:
+	default:
+	}
+}
+
 // sweep cancels what the engine holds without an attempt, and reads its rate.
 func (a *Attendant) sweep(ctx context.Context) {
 	if a.settings.Phase == phasePlain || !a.isUp() {
@@ -195,15 +235,16 @@
 	}
 }
 
+// maxRate bounds what an engine may report.
+const maxRate = 1e12
+
 // rateOf is the rate of a Load message: prefill tokens a second, or the time
 // between decoded tokens in microseconds.
 func rateOf(l driver.Load) int64 {
-	switch {
-	case l.Rate <= 0:
-		return 0
-	case l.Role == phasePrefill:
-		return int64(l.Rate)
-	default:
-		return int64(float64(time.Second/time.Microsecond) / l.Rate)
+	rate := l.Rate
+	if l.Role != phasePrefill && rate > 0 {
+		rate = float64(time.Second/time.Microsecond) / rate
 	}
+
+	return int64(min(max(rate, 0), maxRate))
 }
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -63,8 +63,10 @@
 	reading   map[uint64]chan replicator.Read
 	reads     uint64
 	arrivals  map[uint64][]chan struct{} // waits until an index is applied
-	compacted uint64
-	updates   map[uint64]*wire.Update // by the index asked for, since the last change
+	compacted uint64                     // index of the latest snapshot
+	packed    int                        // bytes of its data
+	grown     int                        // bytes of entries applied after it
+	updates   map[uint64]*wire.Update    // by the index asked for, since the last change
 	members   *wire.Members
 	counting  bool                  // a census is running
 	missing   map[entryID]time.Time // entry processes with claims that are not attached, since when
@@ -128,7 +130,7 @@
 	go func() {
 		defer c.work.Done()
 		defer close(c.looped)
-		if err := c.takePart(); err != nil {
+		if err := c.takePart(); err != nil && !errors.Is(err, ErrClosed) {
 			c.fail(err)
 		}
 	}()
@@ -168,7 +170,7 @@
 	c.followMembers()
 	stop := c.s.Timer.Every(c.s.Heartbeat/ticksPerHeartbeat, c.tick)
 	defer stop()
-	defer c.s.Timer.Every(censusInterval, func(time.Time) { c.post(c.startCensus) })()
+	defer c.s.Timer.Every(min(censusInterval, c.s.Absent/3), func(time.Time) { c.post(c.startCensus) })()
 	c.tick(c.s.Timer.Now())
 	c.founded.Store(true)
 	c.s.Log.Info().Uint64("number", c.s.Number).Str("addr", c.me.GetAddr()).
--- a/internal/picker/score.go
+++ b/internal/picker/score.go
@@ -24,14 +24,14 @@
 // gather fills seen with a bounded sample of servers: near ones first, a few
 // from elsewhere, and those believed to hold the longest cached prefix.
 func (p *Picker) gather(q Query) origin {
-	p.seen = p.seen[:0]
+	p.seen, p.quota = p.seen[:0], 0
 	from := origin{region: q.Region, centre: q.Centre}
 	if near := p.nodes[q.Near]; near != nil {
 		from = origin{region: near.Region, centre: near.Centre, kv: true}
 	}
-	p.sample(p.centre[place{q.Service, q.Phase, from.centre}])
-	p.sample(p.region[place{q.Service, q.Phase, from.region}])
-	p.sample(p.all[place{q.Service, q.Phase, ""}])
+	p.sample(p.centre[place{q.Service, q.Phase, from.centre}], p.s.Sample)
+	p.sample(p.region[place{q.Service, q.Phase, from.region}], (p.s.Sample+1)/2)
+	p.sample(p.all[place{q.Service, q.Phase, ""}], (p.s.Sample+1)/2)
 	p.hits = p.hits[:0]
 	if q.Phase != Prefill {
 		return from
@@ -47,20 +47,22 @@
 	return from
 }
 
-// sample adds up to Settings.Sample servers of list that are not in seen yet,
-// from a random place on. The cost does not grow with the list.
-func (p *Picker) sample(list []*node) {
+// sample adds servers of list that are not in seen yet, from a random place
+// on, at most most of them and one more for each that an earlier list lacked.
+// The cost does not grow with the list.
+func (p *Picker) sample(list []*node, most int) {
 	if len(list) == 0 {
 		return
 	}
+	p.quota += most
 	i := p.rand.IntN(len(list))
-	left := p.s.Sample
 	for range min(len(list), 4*p.s.Sample) {
+		if p.quota <= 0 {
+			return
+		}
 		if n := list[i]; !slices.Contains(p.seen, n) {
 			p.seen = append(p.seen, n)
-			if left--; left == 0 {
-				return
-			}
+			p.quota--
 		}
 		if i++; i == len(list) {
 			i = 0
@@ -84,6 +86,9 @@
 	case n.Centre != from.centre:
 		cost += 2 * p.s.Centres
 	}
+	if q.Phase == Decode && !from.kv {
+		cost += p.prefillWait(now, q, n.Region)
+	}
 	for _, h := range p.hits {
 		if h.node == n {
 			c.Cached = h.pieces
@@ -123,3 +128,16 @@
 
 	return p.s.Prefill / time.Duration(max(n.load.Total, n.Pieces, 1)) * time.Duration(max(q.Pieces, 1))
 }
+
+// prefillWait is the wait at the better of two prefill servers of a region. The
+// prefill follows the decode memory there, because KV cache stays in a region.
+func (p *Picker) prefillWait(now time.Time, q Query, region string) time.Duration {
+	list := p.region[place{q.Service, Prefill, region}]
+	if len(list) == 0 {
+		return p.s.Cross
+	}
+	q.Phase = Prefill
+	i := p.rand.IntN(len(list))
+
+	return min(p.wait(now, q, list[i]), p.wait(now, q, list[(i+1)%len(list)]))
+}
