Leave a frozen leader as soon as another host leads

Cause: a control host forwards a command to the leader that it knows. A frozen leader takes the bytes and never answers, so the host waited 5 s, answered 'pending' and named the frozen leader, which damaskctl then asked for 6 s more. Ruled out: a slow election (a new leader was known after 1 s) and a blocked event loop (queries were answered in 12 ms).

--- a/internal/controller/controller_test.go
+++ b/internal/controller/controller_test.go
@@ -52,8 +52,8 @@
 	return h
 }
 
-// cluster starts n hosts on loopback.
-func cluster(t testing.TB, n int) []*host {
+// cluster starts n hosts on loopback, with settings changed by adjust.
+func cluster(t testing.TB, n int, adjust ...func(*controller.Settings)) []*host {
 	t.Helper()
 	var members []*wire.Member
 	for i := range n {
@@ -63,6 +63,9 @@
 	for i := range n {
 		s := settings(t.TempDir())
 		s.Number, s.Listen, s.Members = uint64(i+1), members[i].GetAddr(), members
+		for _, change := range adjust {
+			change(&s)
+		}
 		hosts[i] = start(t, s)
 	}
 
--- a/internal/controller/fake_test.go
+++ b/internal/controller/fake_test.go
@@ -19,10 +19,19 @@
 	Results map[string]uint64 // index by command id
 	Running map[string]uint64 // epoch of the entries with running claims
 	Lost    []string
+
+	frozen chan struct{} // closed when the event loop is frozen
+	thawed chan struct{}
 }
 
+// frozenSubject is the query that freezes the event loop until thawed is closed.
+const frozenSubject = "freeze"
+
 func newFakeState() *fakeState {
-	return &fakeState{Results: make(map[string]uint64), Running: make(map[string]uint64)}
+	return &fakeState{
+		Results: make(map[string]uint64), Running: make(map[string]uint64),
+		frozen: make(chan struct{}), thawed: make(chan struct{}),
+	}
 }
 
 func (f *fakeState) Apply(index uint64, _ time.Time, cmd *wire.Command) *wire.Result {
@@ -65,6 +74,10 @@
 }
 
 func (f *fakeState) Query(q *wire.Query) (*wire.Table, error) {
+	if q.GetSubject() == frozenSubject {
+		close(f.frozen)
+		<-f.thawed
+	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	t := &wire.Table{Columns: []string{"revision"}}
--- a/internal/controller/proposer.go
+++ b/internal/controller/proposer.go
@@ -195,25 +195,39 @@
 	// processes to report.
 	ctx, cancel := c.within(ctx, c.s.Commit+c.s.Force+c.s.Election)
 	defer cancel()
+	ctx, stop := c.whileLeads(ctx, leader)
+	defer stop()
 	response, err := c.links.call(ctx, leader, &wire.Request{
 		Body: &wire.Request_Command{Command: cmd}, Forwarded: true,
 	})
 	switch {
 	case errors.Is(err, errNotSent):
-		r := outcome(cmd, wire.Outcome_OUTCOME_REFUSED, "not run: the leader cannot be reached")
-		r.Leader = leader
-
-		return r
+		return outcome(cmd, wire.Outcome_OUTCOME_REFUSED, "not run: the leader cannot be reached")
 	case err != nil || response.GetResult() == nil:
-		r := outcome(cmd, wire.Outcome_OUTCOME_PENDING, "no answer from the leader; send the same id again")
-		r.Leader = leader
-
-		return r
+		return outcome(cmd, wire.Outcome_OUTCOME_PENDING, "no answer from the leader; send the same id again")
 	}
 
 	return response.GetResult()
 }
 
+// whileLeads returns a context that ends once another host leads. A leader that
+// is frozen or cut off accepts the bytes of a command and never answers.
+func (c *Controller) whileLeads(ctx context.Context, leader string) (context.Context, func()) {
+	ctx, cancel := context.WithCancel(ctx)
+	stop := c.s.Timer.Every(c.s.Heartbeat, func(time.Time) {
+		go func() {
+			c.do(func() {
+				now, leads := c.leaderAddr(), c.core.Status().Role == replicator.Leader
+				if leads || now != "" && now != leader {
+					cancel()
+				}
+			})
+		}()
+	})
+
+	return ctx, func() { stop(); cancel() }
+}
+
 // count waits briefly until all attached processes have the change in force and
 // returns the result with their number. The stored result stays as it is.
 func (c *Controller) count(ctx context.Context, result *wire.Result) *wire.Result {
--- a/internal/subscriber/subscriber.go
+++ b/internal/subscriber/subscriber.go
@@ -319,7 +319,7 @@
 func (s *Subscriber) pulse(l *link, p *wire.Pulse) {
 	lease := time.Duration(p.GetLease()) * time.Millisecond
 	if lease > s.s.Stale {
-		s.leave(l, "its lease is "+lease.String()+" old")
+		s.leave(l, "it has not heard from a quorum for longer than "+s.s.Stale.String())
 
 		return
 	}
