Carry out orders only while a quorum confirms the view

An agent cut off with a minority of the control hosts carried out an order from its last view, which operators may have replaced meanwhile. It now waits for a fresh view before each try and loses nothing: the order runs when the quorum is back. A plain call now ends at the timeout of its service. A call that a crash cut off no longer takes a later attempt of the same digest off the crash record.

--- a/internal/attendant/control.go
+++ b/internal/attendant/control.go
@@ -14,6 +14,7 @@
 
 // View is the part of the configuration that an agent reads.
 type View interface {
+	Service(name string) *wire.Service
 	Server(name string) *wire.Server
 	Blocked(digest string, now time.Time) *wire.Block
 	Ranks() []*wire.Rank
@@ -27,6 +28,8 @@
 	// Changed returns a channel that is closed when the view is replaced.
 	Changed() <-chan struct{}
 	View() View
+	// Fresh reports whether a quorum has confirmed the view lately.
+	Fresh(now time.Time) bool
 	Propose(ctx context.Context, cmd *wire.Command) (*wire.Result, error)
 }
 
@@ -49,6 +52,9 @@
 // Changed implements Control; the view never changes.
 func (alone) Changed() <-chan struct{} { return nil }
 
+// Fresh implements Control; there is no quorum.
+func (alone) Fresh(time.Time) bool { return false }
+
 // View implements Control.
 func (alone) View() View { return emptyView{} }
 
@@ -59,6 +65,9 @@
 
 type emptyView struct{}
 
+// Service implements View.
+func (emptyView) Service(string) *wire.Service { return nil }
+
 // Server implements View.
 func (emptyView) Server(string) *wire.Server { return nil }
 
--- a/internal/attendant/finish.go
+++ b/internal/attendant/finish.go
@@ -63,7 +63,7 @@
 
 // finishedCancelled ends a plain call that was withdrawn while it ran.
 func (k *keeper) finishedCancelled(now time.Time, a *attempt, o outcome) {
-	k.blamer.End(a.digest, false)
+	k.endBlame(a)
 	if o.answer != nil && a.link != nil {
 		a.link.Send(&wire.Reply{Body: &wire.Reply_Answer{Answer: o.answer}})
 	}
@@ -72,10 +72,18 @@
 	k.gone(now, a)
 }
 
+// endBlame takes an attempt off the crash record. After a crash it is off
+// already, and another attempt of its digest may be on.
+func (k *keeper) endBlame(a *attempt) {
+	if !a.crashed {
+		k.blamer.End(a.digest, false)
+	}
+}
+
 // failed ends an attempt with an error of the backend server. What the server
 // still holds of it is cancelled before its memory is granted again.
 func (k *keeper) failed(now time.Time, a *attempt, err error) {
-	k.blamer.End(a.digest, false)
+	k.endBlame(a)
 	if unsent(err) || errors.Is(err, driver.ErrMemory) {
 		a.sent = false
 		reason := reasonDown
--- a/internal/attendant/order_test.go
+++ b/internal/attendant/order_test.go
@@ -112,3 +112,24 @@
 	h.start(h.engine.Addr(), "decode", 8)
 	back()
 }
+
+// Guards against an order that an agent carries out from a view that no quorum
+// has confirmed for long, and against its loss.
+func TestOrderWithoutQuorum(t *testing.T) {
+	h := newSite(t, fast("decode"))
+	h.control.stale = true
+	h.control.set(h.server(3, order("a", 3, "prefill")))
+	for checks := 0; checks < 3; {
+		pauseBriefly()
+		h.control.mu.Lock()
+		checks = h.control.checks
+		h.control.mu.Unlock()
+	}
+	if got, want := h.engine.Counters().Orders, 0; got != want {
+		t.Errorf("without a quorum: got %d orders, want %d", got, want)
+	}
+	h.control.mu.Lock()
+	h.control.stale = false
+	h.control.mu.Unlock()
+	h.reported("a", "done")
+}
--- a/internal/attendant/orders.go
+++ b/internal/attendant/orders.go
@@ -136,11 +136,18 @@
 	a.noteOrder(id, "")
 }
 
+// errNoQuorum delays an order: without a quorum the agent cannot know whether
+// the order is still current.
+var errNoQuorum = errors.New("no quorum has confirmed the order lately")
+
 // executeOrder repeats an order until the engine has carried it out or rejected
 // it, or the order is no longer current.
 func (a *Attendant) executeOrder(ctx context.Context, order *wire.Order) fencer.Result {
 	for wait := retryMin; ; wait = min(2*wait, retryMax) {
-		err := a.tryOrder(ctx, order)
+		err := errNoQuorum
+		if a.control.Fresh(a.deps.Timer.Now()) {
+			err = a.tryOrder(ctx, order)
+		}
 		switch {
 		case err == nil:
 			return fencer.Result{State: stateDone}
--- a/internal/attendant/plain_test.go
+++ b/internal/attendant/plain_test.go
@@ -177,3 +177,15 @@
 	h.slotsFree()
 	h.ran(1)
 }
+
+// Guards against a call that never ends because its service hangs.
+func TestPlainTimeout(t *testing.T) {
+	h := newPlainSite(t)
+	h.control.timeout = 50 * time.Millisecond
+	x := h.open()
+	x.granted("a", wire.Phase_PHASE_PLAIN)
+	x.run(imitator.HeaderDelay, "1h")
+	x.ended(wire.Status_STATUS_FAILED)
+	h.ran(1)
+	h.slotsFree()
+}
--- a/internal/attendant/rig_test.go
+++ b/internal/attendant/rig_test.go
@@ -30,7 +30,10 @@
 	blocked  map[string]bool
 	commands []*wire.Command
 	refuse   int // proposals that fail before one is stored
-	followed int // times that a follower began to wait for the next view
+	stale    bool
+	checks   int           // of whether the view is fresh
+	timeout  time.Duration // of the service
+	followed int           // times that a follower began to wait for the next view
 	changed  chan struct{}
 }
 
@@ -68,6 +71,18 @@
 	return nil
 }
 
+func (c *control) Service(string) *wire.Service {
+	return &wire.Service{Timeout: c.timeout.Milliseconds()}
+}
+
+func (c *control) Fresh(time.Time) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.checks++
+
+	return !c.stale
+}
+
 func (c *control) Ranks() []*wire.Rank { return nil }
 func (c *control) Rules() []*wire.Rule { return nil }
 
--- a/internal/attendant/settings.go
+++ b/internal/attendant/settings.go
@@ -41,7 +41,7 @@
 	Linger time.Duration
 	// Stall is the time without progress after which a transfer is abandoned.
 	Stall time.Duration
-	// Timeout bounds one plain call.
+	// Timeout bounds one plain call if the service has no timeout of its own.
 	Timeout time.Duration
 	// Drain is the longest wait for running work when the agent leaves.
 	Drain time.Duration
--- a/internal/attendant/worker.go
+++ b/internal/attendant/worker.go
@@ -185,7 +185,7 @@
 }
 
 func (a *Attendant) run(ctx context.Context, act action, in *wire.Run) outcome {
-	ctx, cancel := context.WithTimeout(ctx, a.settings.Timeout)
+	ctx, cancel := context.WithTimeout(ctx, a.timeout())
 	defer cancel()
 	call := driver.Call{Method: in.GetMethod(), Path: in.GetPath(), Body: in.GetBody()}
 	for _, h := range in.GetHeaders() {
@@ -209,6 +209,16 @@
 	return outcome{answer: answer}
 }
 
+// timeout bounds a plain call. The operators' setting of the service counts
+// more than that of the process.
+func (a *Attendant) timeout() time.Duration {
+	if ms := a.control.View().Service(a.settings.Service).GetTimeout(); ms > 0 {
+		return time.Duration(ms) * time.Millisecond
+	}
+
+	return a.settings.Timeout
+}
+
 func isBroken(err error) bool {
 	return errors.Is(err, driver.ErrBroken) || errors.Is(err, driver.ErrDown)
 }
