Group updates of attached processes and keep the address of a joined host

Registrations change the state that all processes follow, so thousands that start together would each cause an update for each of the others; a host now waits 50 ms after a change before it sends updates. A host that was added names the address that the members know, as its listener may be on all addresses. Tests cover a data directory that went back in time, which is expelled and refused at the next start, and a host that joins a cluster of one.

--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"net"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -138,10 +139,11 @@
 	return nil
 }
 
-// address returns the address under which the others know this host.
+// address returns the address under which the others know this host. A lone
+// member may leave the choice of its port to the system.
 func (c *Controller) address(listen string) string {
 	for _, m := range c.s.Members {
-		if m.GetNumber() == c.s.Number && len(c.s.Members) > 1 {
+		if _, port, _ := net.SplitHostPort(m.GetAddr()); m.GetNumber() == c.s.Number && port != "0" {
 			return m.GetAddr()
 		}
 	}
--- a/internal/controller/disk_test.go
+++ b/internal/controller/disk_test.go
@@ -1,12 +1,15 @@
 package controller_test
 
 import (
+	"os"
+	"path/filepath"
 	"sync/atomic"
 	"syscall"
 	"testing"
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/damasklever/damasklever/internal/controller"
 	"github.com/damasklever/damasklever/internal/recorder"
 	"github.com/damasklever/damasklever/internal/wire"
 )
@@ -66,3 +69,55 @@
 		t.Errorf("revision after the restart: got %s, want %s", got, want)
 	}
 }
+
+// Guards against a host whose data directory was restored from a copy and that
+// votes without what it acknowledged since, and against a directory that is
+// used again after that was noticed.
+func TestHostWithOlderDirectoryIsExpelled(t *testing.T) {
+	hosts := cluster(t, 3)
+	l, rest := leader(t, hosts)
+	apply(t, l, change("1"))
+	h := rest[0]
+	until(func() bool { return h.Dump().Applied == l.Dump().Applied })
+	_ = h.Close()
+	older := filepath.Join(t.TempDir(), "older")
+	if err := os.CopyFS(older, os.DirFS(h.settings.Folder)); err != nil {
+		t.Fatal(err)
+	}
+	h = restart(t, h, false)
+	apply(t, l, change("2"))
+	until(func() bool { return h.Dump().Applied == l.Dump().Applied })
+	h.settings.Folder = older
+	h = restart(t, h, false)
+	<-h.Done()
+	if got, want := h.Err(), recorder.ErrExpelled; !errors.Is(got, want) {
+		t.Errorf("end of the host: got %v, want %v", got, want)
+	}
+	if _, err := controller.New(h.settings); !errors.Is(err, recorder.ErrExpelled) {
+		t.Errorf("second start: got %v, want %v", err, recorder.ErrExpelled)
+	}
+}
+
+// Guards against a host that cannot be added to a cluster of one, and against an
+// addition that fails when it is sent again.
+func TestHostJoinsClusterOfOne(t *testing.T) {
+	first := start(t, settings(t.TempDir()))
+	apply(t, first, change("1"))
+	s := settings(t.TempDir())
+	s.Number, s.Members, s.Join = 2, nil, true
+	second := start(t, s)
+	add := &wire.Command{Id: "add", Body: &wire.Command_Peering{Peering: &wire.Peering{Verb: "add", Addr: second.Addr()}}}
+	for range 2 {
+		if got, want := apply(t, first, add).GetOutcome(), wire.Outcome_OUTCOME_DONE; got != want {
+			t.Fatalf("add: got %v, want %v", got, want)
+		}
+	}
+	until(func() bool {
+		members := second.Dump().Members
+
+		return len(members) == 2 && !members[1].Learner
+	})
+	if got, want := apply(t, second, change("2")).GetRevision(), uint64(2); got != want {
+		t.Errorf("revision: got %d, want %d", got, want)
+	}
+}
--- a/internal/controller/links.go
+++ b/internal/controller/links.go
@@ -30,6 +30,7 @@
 
 	mu       sync.Mutex
 	links    map[uint64]*link  // by member
+	addr     string            // of this host, as the members know it
 	learned  map[uint64]string // addresses of hosts that have joined a stream here
 	sessions map[string]*messenger.Session
 }
@@ -42,7 +43,7 @@
 
 func newLinks(ctx context.Context, me *wire.Member, work *sync.WaitGroup) *links {
 	l := &links{
-		ctx: ctx, me: me, work: work, links: make(map[uint64]*link),
+		ctx: ctx, me: me, work: work, addr: me.GetAddr(), links: make(map[uint64]*link),
 		learned: make(map[uint64]string), sessions: make(map[string]*messenger.Session),
 	}
 	context.AfterFunc(ctx, l.close)
@@ -65,7 +66,9 @@
 	keep := make(map[uint64]bool)
 	for _, x := range slices.Concat(m.GetVoters(), m.GetLearners()) {
 		keep[x.GetId()] = true
-		if x.GetId() != l.me.GetId() {
+		if x.GetId() == l.me.GetId() {
+			l.addr = x.GetAddr()
+		} else {
 			l.open(x.GetId(), x.GetAddr())
 		}
 	}
@@ -145,7 +148,9 @@
 	if err != nil {
 		return
 	}
-	join := &wire.Join{From: l.me.GetId(), Addr: l.me.GetAddr()}
+	l.mu.Lock()
+	join := &wire.Join{From: l.me.GetId(), Addr: l.addr}
+	l.mu.Unlock()
 	if s.Send(&wire.Request{Body: &wire.Request_Join{Join: join}}) != nil {
 		return
 	}
--- a/internal/controller/server.go
+++ b/internal/controller/server.go
@@ -18,6 +18,10 @@
 	agentRole = "agent"
 	// registerInterval is the time between attempts to register a process.
 	registerInterval = 500 * time.Millisecond
+	// updateInterval is the least time between two updates to one process. When
+	// thousands of processes register at the same time, each would otherwise get
+	// an update for each of the others.
+	updateInterval = 50 * time.Millisecond
 	// neverHeard is the lease in milliseconds of a host that has not heard from
 	// a majority since its start.
 	neverHeard = math.MaxInt32
@@ -147,14 +151,15 @@
 	first := true
 	for ctx.Err() == nil {
 		bell := c.desk.changed()
-		var err error
-		if sent, err = c.sendUpdate(s, sent, first); err != nil {
+		next, err := c.sendUpdate(s, sent, first)
+		if err != nil {
 			return
 		}
-		first = false
+		sent, first = next, false
 		select {
 		case <-ctx.Done():
 		case <-bell:
+			c.pause(ctx, updateInterval)
 		case <-pulse:
 			if c.sendPulse(s) != nil {
 				return
