--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -67,6 +67,8 @@
 	compacted uint64                     // index of the latest snapshot
 	packed    int                        // bytes of its data
 	grown     int                        // bytes of entries applied after it
+	packing   bool                       // a snapshot is being taken
+	fault     error                      // ends the event loop
 	updates   map[uint64]*wire.Update    // by the index asked for, since the last change
 	members   *wire.Members
 	counting  bool                  // a census is running
--- a/internal/controller/fake_test.go
+++ b/internal/controller/fake_test.go
@@ -88,11 +88,12 @@
 	return &wire.Update{Index: f.Last, Revision: f.Rev, Full: index == 0}
 }
 
-func (f *fakeState) Snapshot() ([]byte, error) {
+func (f *fakeState) Capture() func() ([]byte, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	data, err := json.Marshal(f)
 
-	return json.Marshal(f)
+	return func() ([]byte, error) { return data, err }
 }
 
 func (f *fakeState) Restore(data []byte) error {
--- a/internal/controller/loop.go
+++ b/internal/controller/loop.go
@@ -11,10 +11,6 @@
 	"github.com/damasklever/damasklever/internal/wire"
 )
 
-// compactBytes is the size of the log's data at which a snapshot is taken even
-// if there are few entries, as stored answers of calls may be large.
-const compactBytes = 16 << 20
-
 // waiter is a proposal of this host that waits for its commit.
 type waiter struct {
 	term uint64
@@ -91,9 +87,14 @@
 // process syncs, sends and applies until the core has nothing more to do.
 func (c *Controller) process() error {
 	for {
+		if c.fault != nil {
+			return c.fault
+		}
 		r := c.core.Ready()
 		if r.Empty() {
-			return c.compact()
+			c.startCompact()
+
+			return nil
 		}
 		if err := c.persist(&r); err != nil {
 			return err
@@ -232,25 +233,3 @@
 	}
 	c.links.follow(c.members)
 }
-
-func (c *Controller) compact() error {
-	// The log may take as much memory as the state, but no more.
-	if c.applied < c.compacted+c.s.Compact && c.grown < max(compactBytes, c.packed) {
-		return nil
-	}
-	data, err := c.state.Snapshot()
-	if err != nil {
-		return errors.Newf("take snapshot at %d: %w", c.applied, err)
-	}
-	s, err := c.core.Compact(c.applied, data)
-	if err != nil {
-		return errors.Newf("compact: %w", err)
-	}
-	if err := c.rec.Snapshot(s); err != nil {
-		return errors.Newf("sync snapshot: %w", err)
-	}
-	c.compacted, c.grown, c.packed = c.applied, 0, len(data)
-	c.s.Log.Info().Uint64("index", c.applied).Int("bytes", len(data)).Msg("snapshot taken")
-
-	return nil
-}
--- a/internal/controller/settings.go
+++ b/internal/controller/settings.go
@@ -34,7 +34,9 @@
 	Revision() uint64
 	Query(q *wire.Query) (*wire.Table, error)
 	UpdateSince(index uint64) *wire.Update
-	Snapshot() ([]byte, error)
+	// Capture returns a function that encodes the state as it is now, in another
+	// goroutine and while commands are applied.
+	Capture() func() ([]byte, error)
 	Restore(data []byte) error
 }
 
--- a/internal/recorder/crash_test.go
+++ b/internal/recorder/crash_test.go
@@ -72,6 +72,15 @@
 		return func(r *recorder.Recorder) error { return r.Save(nil, list) }, after
 	}
 	s := after.Snapshot
+	if rapid.Bool().Draw(rt, "staged") {
+		return func(r *recorder.Recorder) error {
+			if err := r.Stage(s); err != nil {
+				return err
+			}
+
+			return r.Adopt(s)
+		}, after
+	}
 
 	return func(r *recorder.Recorder) error { return r.Snapshot(s) }, after
 }
--- a/internal/recorder/load.go
+++ b/internal/recorder/load.go
@@ -210,9 +210,18 @@
 // replace replaces a file as a whole: after a crash there is the old content or
 // the new one.
 func (r *Recorder) replace(name string, data []byte) error {
-	file, err := r.files.Open(name + newSuffix)
+	if err := r.write(name+newSuffix, data); err != nil {
+		return err
+	}
+
+	return r.rename(name+newSuffix, name)
+}
+
+// write writes and syncs a whole file.
+func (r *Recorder) write(name string, data []byte) error {
+	file, err := r.files.Open(name)
 	if err != nil {
-		return errors.Newf("open new %s: %w", name, err)
+		return errors.Newf("open file %s: %w", name, err)
 	}
 	err = file.Truncate(0)
 	if err == nil {
@@ -222,10 +231,15 @@
 		err = file.Sync()
 	}
 	if err = errors.CombineErrors(err, file.Close()); err != nil {
-		return errors.Newf("write new %s: %w", name, err)
+		return errors.Newf("write file %s: %w", name, err)
 	}
-	if err := r.files.Rename(name+newSuffix, name); err != nil {
-		return errors.Newf("replace %s: %w", name, err)
+
+	return nil
+}
+
+func (r *Recorder) rename(from, to string) error {
+	if err := r.files.Rename(from, to); err != nil {
+		return errors.Newf("replace file %s: %w", to, err)
 	}
 	if err := r.files.SyncFolder(); err != nil {
 		r.broken = errors.Newf("data directory is in an unknown state: %w", err)
--- a/internal/recorder/recorder.go
+++ b/internal/recorder/recorder.go
@@ -31,6 +31,7 @@
 	logFile      = "log"
 	expelledFile = "expelled"
 	newSuffix    = ".new"
+	stagedSuffix = ".staged"
 )
 
 // Faults of a data directory.
@@ -253,6 +254,36 @@
 	if err := r.writeFile(snapshotFile, s); err != nil {
 		return errors.Newf("save snapshot: %w", err)
 	}
+
+	return r.follow(s)
+}
+
+// Stage writes a snapshot aside and syncs it. It may run at the same time as the
+// other methods, but not twice at once: a large snapshot takes longer than the
+// log may wait. Adopt makes it the latest one.
+func (r *Recorder) Stage(s *wire.Snapshot) error {
+	payload, err := proto.Marshal(s)
+	if err != nil {
+		return errors.Newf("encode snapshot: %w", err)
+	}
+
+	return r.write(snapshotFile+stagedSuffix, appendFrame(nil, frame{payload: payload}))
+}
+
+// Adopt does what Snapshot does, with the snapshot that Stage wrote last.
+func (r *Recorder) Adopt(s *wire.Snapshot) error {
+	if r.broken != nil {
+		return r.broken
+	}
+	if err := r.rename(snapshotFile+stagedSuffix, snapshotFile); err != nil {
+		return errors.Newf("adopt snapshot: %w", err)
+	}
+
+	return r.follow(s)
+}
+
+// follow drops the entries that the snapshot on the disk covers.
+func (r *Recorder) follow(s *wire.Snapshot) error {
 	r.state.Entries = rest(r.state, s)
 	r.state.Snapshot = s
 	if err := r.rewrite(); err != nil {
--- a/internal/replicator/cluster_test.go
+++ b/internal/replicator/cluster_test.go
@@ -149,6 +149,25 @@
 	return m
 }
 
+// compact takes a snapshot of the host's state.
+func (c *cluster) compact(h *host) *wire.Snapshot {
+	c.t.Helper()
+	s, err := h.core.Mark(h.applied)
+	if err != nil {
+		c.t.Fatalf("mark on host %d: %v", h.id, err)
+	}
+	s.Data = h.snapshot()
+	if err := h.core.Compact(s); err != nil {
+		c.t.Fatalf("compact host %d: %v", h.id, err)
+	}
+	for len(h.disk.Entries) > 0 && h.disk.Entries[0].GetIndex() <= h.applied {
+		h.disk.Entries = h.disk.Entries[1:]
+	}
+	h.disk.Snapshot = s
+
+	return s
+}
+
 // pump does the work of a host until there is none, or until the crash.
 func (c *cluster) pump(h *host, at crash) {
 	c.t.Helper()
--- a/internal/replicator/replicator.go
+++ b/internal/replicator/replicator.go
@@ -193,14 +193,23 @@
 	}
 }
 
-// Compact takes a snapshot of the state after the entry at index.
-func (c *Core) Compact(index uint64, data []byte) (*wire.Snapshot, error) {
+// Mark returns a snapshot of the state after the entry at index, without data.
+func (c *Core) Mark(index uint64) (*wire.Snapshot, error) {
 	term, ok := c.log.term(index)
 	if !ok || index > c.log.handed || index < c.log.snapshot.GetIndex() {
-		return nil, errors.Newf("compact at %d: not between %d and %d", index, c.log.snapshot.GetIndex(), c.log.handed)
+		return nil, errors.Newf("mark %d: not between %d and %d", index, c.log.snapshot.GetIndex(), c.log.handed)
 	}
-	s := &wire.Snapshot{Index: index, Term: term, Members: c.log.membersAt(index), Data: data}
-	keep := index
+
+	return &wire.Snapshot{Index: index, Term: term, Members: c.log.membersAt(index)}, nil
+}
+
+// Compact replaces the log up to the snapshot, which Mark returned and to which
+// the caller has added the data.
+func (c *Core) Compact(s *wire.Snapshot) error {
+	if index := s.GetIndex(); index > c.log.handed || index < c.log.snapshot.GetIndex() {
+		return errors.Newf("compact at %d: not between %d and %d", index, c.log.snapshot.GetIndex(), c.log.handed)
+	}
+	keep := s.GetIndex()
 	for _, p := range c.progress {
 		if c.now.Sub(p.heard) < c.s.Election {
 			keep = min(keep, p.match)
@@ -208,7 +217,7 @@
 	}
 	c.log.compact(s, keep)
 
-	return s, nil
+	return nil
 }
 
 // Ready returns the work to do. Advance must follow before the next call.
--- a/internal/replicator/replicator_test.go
+++ b/internal/replicator/replicator_test.go
@@ -241,10 +241,7 @@
 	h.core = nil
 	c.run(2 * election)
 	c.proposeMany(l, 0, 500)
-	s, err := l.core.Compact(l.applied, l.snapshot())
-	if err != nil {
-		t.Fatal(err)
-	}
+	s := c.compact(l)
 	c.proposeMany(l, 500, 510)
 	c.start(h)
 	c.run(3 * time.Second)
--- a/internal/replicator/schedule_test.go
+++ b/internal/replicator/schedule_test.go
@@ -163,14 +163,7 @@
 	if h.applied <= h.disk.Snapshot.GetIndex() {
 		rt.Skip("nothing to compact")
 	}
-	snapshot, err := h.core.Compact(h.applied, h.snapshot())
-	if err != nil {
-		rt.Fatalf("compact host %d: %v", h.id, err)
-	}
-	for len(h.disk.Entries) > 0 && h.disk.Entries[0].GetIndex() <= h.applied {
-		h.disk.Entries = h.disk.Entries[1:]
-	}
-	h.disk.Snapshot = snapshot
+	s.compact(h)
 }
 
 func (s *schedule) drawChange(rt *rapid.T) {
