Count the work of a serial server once

Cause: a prefill server without slots counts pieces of memory, and the work waiting was then counted once for each piece, so waits were estimated far too long. The agent sets Serial without Slots for prefill. Before: two asks of 5 pieces running and two waiting, 1 s each: wait 12 s. After: 4 s; TestSerialWait fails without the change. The table is unchanged, its prefill servers have slots.

--- a/internal/granter/granter.go
+++ b/internal/granter/granter.go
@@ -124,7 +124,10 @@
 	if g.s.Slots > 0 {
 		it.units = 1
 	}
-	it.work = a.Cost.Seconds() * float64(it.units)
+	it.work = a.Cost.Seconds()
+	if !g.s.Serial {
+		it.work *= float64(it.units)
+	}
 	wait := g.wait(now, it)
 	if now.Add(wait).After(a.Due.Add(a.Hold)) {
 		return []Decision{g.late(now, it, wait)}
--- a/internal/granter/granter_test.go
+++ b/internal/granter/granter_test.go
@@ -70,6 +70,21 @@
 	}
 }
 
+// Guards against a wait on a serial server that counts an ask's cost once for
+// each of its pieces.
+func TestSerialWait(t *testing.T) {
+	t.Parallel()
+	s := Defaults(10)
+	s.Serial = true
+	g := newGranter(t, s)
+	for i := range 4 { // two run, two wait for memory
+		g.Ask(start, ask(fmt.Sprint(i), 0, 5))
+	}
+	if got, want := g.Load(start).Waits[0], 4*time.Second; got != want {
+		t.Errorf("wait: got %s, want %s", got, want)
+	}
+}
+
 // Guards against asks that wait although they cannot make their due time.
 func TestRefusals(t *testing.T) {
 	t.Parallel()
--- a/internal/granter/queue.go
+++ b/internal/granter/queue.go
@@ -18,7 +18,7 @@
 type item struct {
 	Ask
 	units int
-	work  float64 // unit-seconds
+	work  float64 // unit-seconds; seconds on a serial server
 	state state
 	firm  time.Time // when the units are needed
 	end   time.Time // expected release
