Make three policy tests fail without their mechanism

Cause: each mechanism was removed on a scratch copy to see its test fail. Three tests passed without it. TestLearnedEnds used ends that the initial spread already covered. Ruled out: the other eleven removals, whose tests failed as they should (floors, headroom, ready asks, late head, lease, use, billed prefill, prefill wait, ramp, retry budget, admission share).

--- a/internal/granter/granter_test.go
+++ b/internal/granter/granter_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -207,12 +208,13 @@
 	s := Defaults(10)
 	s.Ranks = []Rank{{Share: 25}}
 	g := newGranter(t, s)
-	byRank, byCaller := flood(t, g, 1, func(i int) string {
-		if i%5 != 0 {
+	random := rand.New(rand.NewPCG(1, 1)) // a fixed order would follow the releases
+	byRank, byCaller := flood(t, g, 1, func(int) string {
+		if random.IntN(5) != 0 {
 			return "c0"
 		}
 
-		return fmt.Sprintf("c%d", 1+i/5%7)
+		return fmt.Sprintf("c%d", 1+random.IntN(7))
 	})
 	if got := 100 * float64(byCaller["c0"]) / float64(byRank[0]); got > 25.5 {
 		t.Errorf("share: c0 got %.1f%% of %d grants, want at most 25%%", got, byRank[0])
@@ -334,8 +336,9 @@
 	}
 }
 
-// Guards against promises that are broken often: after ends at 60% and at 140%
-// of the cost, a promise half way must not count on the release, one later may.
+// Guards against promises that are broken often: after ends at 170 to 190% of
+// the cost, a promise must not count on a release at 160%, as it would before
+// anything was learned; one after all ends seen may.
 func TestLearnedEnds(t *testing.T) {
 	t.Parallel()
 	g := newGranter(t, Defaults(10))
@@ -344,7 +347,7 @@
 		a := ask(fmt.Sprint(i), 1, 10)
 		a.Due = now.Add(time.Second)
 		g.Ask(now, a)
-		g.Release(now.Add(time.Duration(600+800*(i%2))*time.Millisecond), a.ID)
+		g.Release(now.Add(time.Duration(1_700+200*(i%2))*time.Millisecond), a.ID)
 	}
 	now := at(1_000_000)
 	running := ask("running", 1, 10)
@@ -353,7 +356,7 @@
 	for _, tt := range []struct {
 		hold time.Duration
 		want string
-	}{{time.Second, ""}, {1600 * time.Millisecond, "x1600:granted "}} {
+	}{{1600 * time.Millisecond, ""}, {2100 * time.Millisecond, "x2100:granted "}} {
 		a := ask(fmt.Sprint("x", tt.hold.Milliseconds()), 1, 4)
 		a.Hold, a.Due = tt.hold, now.Add(10*time.Second)
 		if got := list(g.Ask(now, a)); got != tt.want {
--- a/internal/picker/picker_test.go
+++ b/internal/picker/picker_test.go
@@ -161,13 +161,17 @@
 		servers = append(servers, server(fmt.Sprint(i), Prefill, "r", "a"))
 	}
 	p := newPicker(t, servers...)
+	p.Observe(start, "0", idle())
+	for i := 1; i < 4; i++ {
+		p.Observe(start, fmt.Sprint(i), busy(400*time.Millisecond))
+	}
 	count := map[string]int{}
 	for i := range 100 {
 		count[p.Pick(at(i), Query{Service: "s", Phase: Prefill, Region: "r", Centre: "a"}, 1)[0].Server]++
 	}
-	for name, got := range count {
-		if got < 20 || got > 30 {
-			t.Errorf("server %s: got %d of 100 requests, want about 25", name, got)
+	for _, s := range servers {
+		if got := count[s.Name]; got < 15 || got > 40 {
+			t.Errorf("server %s: got %d of 100 requests, want 15 to 40", s.Name, got)
 		}
 	}
 }
