--- a/internal/granter/estimate.go
+++ b/internal/granter/estimate.go
@@ -58,7 +58,7 @@
 
 	free -= float64(g.headroom(now, it))
 
-	return float64(it.units) <= free+max(released-min(1, float64(it.Rank))*g.s.Caution*math.Sqrt(variance), 0)
+	return float64(it.units) <= free+max(released-g.s.Caution*math.Sqrt(variance), 0)
 }
 
 // headroom is the number of units kept free for the asks of more urgent ranks
