--- a/internal/admitter/admitter.go
+++ b/internal/admitter/admitter.go
@@ -136,6 +136,16 @@
 	a.service(q.Service).ranks[q.Rank].done(q)
 }
 
+// Running is the number of admitted requests of a service and rank that have
+// not ended, for metrics and dumps.
+func (a *Admitter) Running(service string, rank int) int {
+	if sv := a.services[service]; sv != nil && rank >= 0 && rank < len(sv.ranks) {
+		return sv.ranks[rank].running
+	}
+
+	return 0
+}
+
 // Retry consumes one retry from the service's budget and tells whether there
 // was one.
 func (a *Admitter) Retry(now time.Time, service string) bool {
--- a/internal/admitter/admitter_test.go
+++ b/internal/admitter/admitter_test.go
@@ -78,6 +78,19 @@
 	}
 }
 
+// Guards against requests in flight that are counted for ever.
+func TestRunning(t *testing.T) {
+	t.Parallel()
+	a := newAdmitter(t)
+	observe(a, 0, 0, 0)
+	a.Admit(start, query)
+	a.Admit(start, query)
+	a.Done(start, query)
+	if got, want := a.Running("s", 0), 1; got != want {
+		t.Errorf("running: got %d, want %d", got, want)
+	}
+}
+
 // Guards against oscillation: around the target the refused fraction must rise
 // gradually, or late reports admit everything and refuse everything in turn.
 func TestRefusedFraction(t *testing.T) {
