Keep an agent from cancelling the work of a foreign engine

An agent whose engine was down reconciled with whatever answered at the address next and cancelled all its work; fake engines of other test processes that got the same port would explain the one attempt that was cancelled on a healthy engine. The watch stream now names the engine, and an agent that has seen one name stays down with an error while another engine answers. An engine without a name is accepted as before. Start numbers of the fake engine now differ between engines; all began at 1. TestForeignEngine fails without the check.

--- a/internal/attendant/attendant.go
+++ b/internal/attendant/attendant.go
@@ -66,6 +66,7 @@
 	attachment *wire.Attach
 	kick       chan struct{} // wakes followOrders
 	roles      int           // registrations of a changed role, by followOrders
+	engine     string        // name of the engine, by the watcher
 
 	mu         sync.Mutex // guards all below
 	phase      string     // current role of an engine
--- a/internal/attendant/crash_test.go
+++ b/internal/attendant/crash_test.go
@@ -1,9 +1,12 @@
 package attendant_test
 
 import (
+	"context"
 	"slices"
 	"testing"
+	"time"
 
+	"github.com/damasklever/damasklever/internal/driver"
 	"github.com/damasklever/damasklever/internal/imitator"
 	"github.com/damasklever/damasklever/internal/wire"
 )
@@ -161,3 +164,36 @@
 	h.awaitReady()
 	x.granted("c", wire.Phase_PHASE_DECODE)
 }
+
+// Guards against an agent that cancels the work of another engine, which took
+// over the address of its own one.
+func TestForeignEngine(t *testing.T) {
+	s := fast("prefill")
+	s.Restart = time.Hour
+	h := newSite(t, s)
+	h.engine.Crash()
+	for h.agent.Ready() {
+		pauseBriefly()
+	}
+	foreign, err := imitator.NewEngine(fast("prefill"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := foreign.Start(h.engine.Addr()); err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = foreign.Close() }()
+	client := driver.New(foreign.Addr(), time.Second)
+	defer client.Close()
+	if _, err := client.Prefill(t.Context(), driver.Prefill{ID: "a", Tokens: 10, Pieces: 1}); err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithTimeout(t.Context(), patience)
+	defer cancel()
+	if err := foreign.Await(ctx, func(c imitator.Counters) bool { return c.Watches >= 2 }); err != nil {
+		t.Fatal(err)
+	}
+	if got, want := foreign.Counters().Held, int64(1); got != want || h.agent.Ready() {
+		t.Errorf("got %d pieces held and ready %v, want %d and not ready", got, h.agent.Ready(), want)
+	}
+}
--- a/internal/attendant/watcher.go
+++ b/internal/attendant/watcher.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"github.com/phuslu/log"
 
 	"github.com/damasklever/damasklever/internal/driver"
 )
@@ -23,6 +24,10 @@
 	reviveInterval = 50 * time.Millisecond
 )
 
+// errOther keeps an agent from cancelling the work of a foreign engine that took
+// over the address while its own was down.
+var errOther = errors.New("another engine answers at the backend server's address; restart the agent to adopt it")
+
 var errBoot = errors.New("the engine has restarted")
 
 // down ends everything that ran on the backend server.
@@ -85,8 +90,12 @@
 		if !a.isUp() {
 			b, err := a.reconcile(ctx)
 			if err != nil {
-				a.deps.Log.Debug().Err(err).Str("server", a.settings.Name).Msg("reconcile")
-				sleep(ctx, reviveInterval)
+				level, wait := log.DebugLevel, reviveInterval
+				if errors.Is(err, errOther) {
+					level, wait = log.ErrorLevel, probeInterval
+				}
+				a.deps.Log.WithLevel(level).Err(err).Str("server", a.settings.Name).Msg("reconcile")
+				sleep(ctx, wait)
 
 				continue
 			}
@@ -147,22 +156,28 @@
 	return nil
 }
 
-// boot reads the start number of the engine.
+// boot reads the start number of the engine. Only the watcher calls it.
 func (a *Attendant) boot(ctx context.Context) (int64, error) {
 	ctx, cancel := context.WithTimeout(ctx, bootTimeout)
 	defer cancel()
-	var boot int64
+	var first driver.Event
 	err := a.backend.Watch(ctx, func(e driver.Event) {
 		if e.Boot != 0 {
-			boot = e.Boot
+			first = e
 			cancel()
 		}
 	})
-	if boot == 0 {
+	if first.Boot == 0 {
 		return 0, errors.Newf("read start number: %w", err)
 	}
+	if a.engine == "" {
+		a.engine = first.Name
+	}
+	if first.Name != a.engine {
+		return 0, errors.Newf("engine %q: %w", first.Name, errOther)
+	}
 
-	return boot, nil
+	return first.Boot, nil
 }
 
 // reconcile cancels everything that the engine runs, and returns its start
--- a/internal/driver/parse.go
+++ b/internal/driver/parse.go
@@ -117,10 +117,11 @@
 	return p, nil
 }
 
-// Event is one line of the watch stream: the number of the engine's start, a
-// heartbeat, or a change of the prefix cache.
+// Event is one line of the watch stream: the number of the engine's start and
+// its name, a heartbeat, or a change of the prefix cache.
 type Event struct {
 	Boot  int64    `json:"boot"`
+	Name  string   `json:"name"` // of the engine, beside Boot
 	Beat  bool     `json:"beat"`
 	Seq   uint64   `json:"seq"`
 	Added []uint64 `json:"added"`
--- a/internal/imitator/cache.go
+++ b/internal/imitator/cache.go
@@ -58,10 +58,11 @@
 	event Event
 }
 
-// Event is one line of the watch stream. The first has only Boot, a heartbeat
-// has only Beat.
+// Event is one line of the watch stream. The first has Boot, a number that
+// differs for each start, and the engine's name; a heartbeat has only Beat.
 type Event struct {
-	Boot  int      `json:"boot,omitempty"`
+	Boot  int64    `json:"boot,omitempty"`
+	Name  string   `json:"name,omitempty"`
 	Beat  bool     `json:"beat,omitempty"`
 	Seq   uint64   `json:"seq,omitempty"`
 	Added []uint64 `json:"added,omitempty"`
--- a/internal/imitator/engine.go
+++ b/internal/imitator/engine.go
@@ -23,6 +23,7 @@
 	Orders   int   // engine orders carried out
 	Crashes  int
 	Boots    int
+	Watches  int // watch streams opened
 }
 
 // Engine is a fake inference engine. Its HTTP interface: POST /prefill,
@@ -39,6 +40,7 @@
 	models   map[string]bool
 	stalled  bool
 	changed  chan struct{} // closed and replaced at each change
+	timer    *time.Timer   // of the restart
 	work     sync.WaitGroup
 }
 
@@ -75,6 +77,9 @@
 func (e *Engine) Close() error {
 	e.mu.Lock()
 	e.closed = true
+	if e.timer != nil && e.timer.Stop() {
+		e.work.Done()
+	}
 	dead := e.down()
 	e.mu.Unlock()
 	dead()
@@ -96,7 +101,7 @@
 	dead := e.down()
 	if !e.closed {
 		e.work.Add(1)
-		time.AfterFunc(e.settings.Restart, e.restart)
+		e.timer = time.AfterFunc(e.settings.Restart, e.restart)
 	}
 	e.mu.Unlock()
 	dead()
@@ -168,7 +173,7 @@
 	if err := e.boot(e.addr); err != nil {
 		// The port may still be taken by a connection that is closing.
 		e.work.Add(1)
-		time.AfterFunc(e.settings.Restart, e.restart)
+		e.timer = time.AfterFunc(e.settings.Restart, e.restart)
 	}
 }
 
@@ -179,7 +184,7 @@
 	}
 	e.addr = inner.Addr().String()
 	e.counters.Boots++
-	l := newLife(e, e.counters.Boots)
+	l := newLife(e, time.Now().UnixNano())
 	e.life = l
 	l.server = &http.Server{Handler: l.routes(), ReadHeaderTimeout: readTimeout}
 	e.work.Add(1)
--- a/internal/imitator/life.go
+++ b/internal/imitator/life.go
@@ -48,7 +48,7 @@
 // life is all state between two crashes. It is guarded by the engine's mutex.
 type life struct {
 	engine *Engine
-	boot   int
+	boot   int64
 	server *http.Server
 	ctx    context.Context //nolint:containedctx // ends with the crash
 	cancel context.CancelFunc
@@ -61,7 +61,7 @@
 	loads  []loadSample
 }
 
-func newLife(e *Engine, boot int) *life {
+func newLife(e *Engine, boot int64) *life {
 	ctx, cancel := context.WithCancel(context.Background())
 	l := &life{
 		engine: e, boot: boot, ctx: ctx, cancel: cancel,
@@ -94,7 +94,7 @@
 	j := &job{
 		id: id, state: state, pieces: pieces, ctx: ctx, cancel: cancel,
 		changed: make(chan struct{}), started: time.Now(),
-		handle: strconv.Itoa(l.boot) + "/" + id,
+		handle: strconv.FormatInt(l.boot, 10) + "/" + id,
 	}
 	l.held += pieces
 	l.jobs[id] = j
--- a/internal/imitator/serve.go
+++ b/internal/imitator/serve.go
@@ -100,8 +100,12 @@
 
 // watch streams cache events and heartbeats until the engine crashes.
 func (l *life) watch(w http.ResponseWriter, r *http.Request) {
+	l.engine.mu.Lock()
+	l.engine.counters.Watches++
+	l.engine.announce()
+	l.engine.mu.Unlock()
 	out := newLines(w)
-	if !out.send(Event{Boot: l.boot}) {
+	if !out.send(Event{Boot: l.boot, Name: l.engine.settings.Name}) {
 		return
 	}
 	ticker := time.NewTicker(beatInterval)
--- a/internal/imitator/settings.go
+++ b/internal/imitator/settings.go
@@ -4,6 +4,8 @@
 package imitator
 
 import (
+	"math/rand/v2"
+	"strconv"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -14,7 +16,7 @@
 
 // EngineSettings describes one fake engine. Rates are per second.
 type EngineSettings struct {
-	Name        string
+	Name        string        // stays over crashes; random if empty
 	Role        string        // prefill or decode; an order can change it
 	Pieces      int64         // memory for requests
 	Cache       int           // prefix hashes kept
@@ -33,7 +35,7 @@
 
 // Defaults fills the fields that are zero.
 func (s *EngineSettings) Defaults() {
-	setDefault(&s.Name, "engine")
+	setDefault(&s.Name, "engine-"+strconv.FormatUint(rand.Uint64(), 36)) //nolint:gosec // no secret
 	setDefault(&s.Role, "decode")
 	setDefault(&s.Pieces, 40)
 	setDefault(&s.Cache, 256)
