Tighten two tests that passed without their mechanism

Of 23 deliberate faults in recorder, controller and core two passed: a partial frame left on a full disk, because the fake disk cut a file at each write, and a host with a lost disk that founded a cluster again, because the test looked before it had. The fake now overwrites in place and the tests check the length of the log and wait; both fail with the fault and pass without it. Founders write their members in the order of their numbers.

--- a/internal/controller/controller_test.go
+++ b/internal/controller/controller_test.go
@@ -239,6 +239,7 @@
 	}
 	l, rest := leader(t, hosts)
 	fresh := restart(t, rest[0], true)
+	until(func() bool { return fresh.Dump().Founded })
 	apply(t, l, change("20"))
 	if got, want := fresh.Dump().Last, uint64(0); got != want {
 		t.Errorf("log of the host with a new disk before it was added: got %d entries, want %d", got, want)
--- a/internal/controller/founder.go
+++ b/internal/controller/founder.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -79,9 +81,10 @@
 			return nil, errors.Newf("found cluster: %w", ErrClosed)
 		}
 	}
+	// All founders write the same snapshot, in whatever order they were named.
 	members := &wire.Members{}
-	for _, m := range c.s.Members {
-		members.Voters = append(members.Voters, met[m.GetNumber()])
+	for _, number := range slices.Sorted(maps.Keys(met)) {
+		members.Voters = append(members.Voters, met[number])
 	}
 
 	return members, nil
--- a/internal/recorder/disk_test.go
+++ b/internal/recorder/disk_test.go
@@ -142,7 +142,10 @@
 		n = min(n, f.disk.space)
 		f.disk.space -= n
 	}
-	f.inode.data = append(slices.Clone(f.inode.data[:offset]), p[:n]...)
+	data := slices.Clone(f.inode.data)
+	data = append(data, make([]byte, max(0, int(offset)+n-len(data)))...)
+	copy(data[offset:], p[:n])
+	f.inode.data = data
 	if n < len(p) {
 		return n, errFull
 	}
--- a/internal/recorder/recorder_test.go
+++ b/internal/recorder/recorder_test.go
@@ -159,7 +159,7 @@
 // host for good.
 func TestDiskFull(t *testing.T) {
 	for space := range 200 {
-		d, _ := three(t)
+		d, lengths := three(t)
 		r := mustOpen(t, d)
 		d.space = space
 		err := r.Save(&wire.Vote{Term: 4, Vote: 2}, entries(7, 4, 3))
@@ -169,6 +169,9 @@
 		if space < 60 && err == nil {
 			t.Fatalf("%d bytes of space: saved", space)
 		}
+		if got, want := len(d.names["log"].data), lengths[2]; err != nil && got != want {
+			t.Fatalf("%d bytes of space: log file has %d bytes after the error, want %d", space, got, want)
+		}
 		d.space = -1
 		mustSave(t, r, &wire.Vote{Term: 5}, entries(7, 5, 1))
 		_ = r.Close()
