Let sessions wait for what an entry knows, and a caller come back

An entry reported ready before it knew the agents, a caller was cut off before its first byte, and a request was sent within the backoff after an agent's restart. Ruled out: faults of the programs; each answer was a correct 'not run' with Retry-After, or a connection that was cut as it should be. The dump of an entry now shows how many servers it can use; the sessions wait for that and for the second chunk, and the caller of the last request does what Retry-After says. Conclusion: the sessions test the kills, not the start-up order.

--- a/cmd/damasklever/demotalk.go
+++ b/cmd/damasklever/demotalk.go
@@ -174,5 +174,5 @@
 func (d *demo) holds(index uint64) bool {
 	state, ok := d.router.Dump().(router.State)
 
-	return ok && state.Index >= index
+	return ok && state.Index >= index && state.Servers > len(d.fakes.engines)
 }
--- a/cmd/damasklever/session_test.go
+++ b/cmd/damasklever/session_test.go
@@ -8,6 +8,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"regexp"
 	"slices"
 	"strconv"
 	"strings"
@@ -85,24 +86,24 @@
 	}
 }
 
-// await URL [TEXT] waits until the answer has status 200 and contains the text.
-// With "!" it waits until there is no such answer.
+// await URL [PATTERN] waits until the answer has status 200 and matches the
+// pattern. With "!" it waits until there is no such answer.
 func await(ts *testscript.TestScript, neg bool, args []string) {
 	ctx, cancel := context.WithTimeout(context.Background(), waitLimit)
 	defer cancel()
 	ticker := time.NewTicker(waitPause)
 	defer ticker.Stop()
-	text := strings.Join(args[1:], " ")
-	for answered(ctx, args[0], text) == neg {
+	pattern := regexp.MustCompile(strings.Join(args[1:], " "))
+	for answered(ctx, args[0], pattern) == neg {
 		select {
 		case <-ticker.C:
 		case <-ctx.Done():
-			ts.Fatalf("%s: no answer with %q in %s", args[0], text, waitLimit)
+			ts.Fatalf("%s: no answer with %q in %s", args[0], pattern, waitLimit)
 		}
 	}
 }
 
-func answered(ctx context.Context, url, text string) bool {
+func answered(ctx context.Context, url string, pattern *regexp.Regexp) bool {
 	request, err := http.NewRequestWithContext(ctx, http.MethodGet, url, http.NoBody)
 	if err != nil {
 		return false
@@ -113,7 +114,7 @@
 	}
 	defer response.Body.Close()
 
-	return response.StatusCode == http.StatusOK && strings.Contains(readAll(response), text)
+	return response.StatusCode == http.StatusOK && pattern.MatchString(readAll(response))
 }
 
 // exits STATUS PROGRAM ARG... runs a program to its end and checks its exit
--- a/cmd/damasklever/standin_test.go
+++ b/cmd/damasklever/standin_test.go
@@ -12,6 +12,7 @@
 	"os"
 	"os/signal"
 	"regexp"
+	"strconv"
 	"strings"
 	"syscall"
 	"time"
@@ -63,6 +64,7 @@
 	body := flag.String("d", "", "body")
 	size := flag.Int("size", 0, "send a body of this many bytes instead")
 	prompt := flag.Int("prompt", 0, "send a completion with a prompt of this many bytes instead")
+	retry := flag.Bool("retry", false, "come back when told to")
 	first := flag.Bool("first", false, "leave after the first line of the body")
 	flag.Parse()
 	if *size > 0 {
@@ -71,17 +73,14 @@
 	if *prompt > 0 {
 		*body = `{"model":"summary","prompt":"` + strings.Repeat("note ", *prompt/5) + `"}`
 	}
-	request, err := http.NewRequestWithContext(context.Background(), *method, flag.Arg(0), strings.NewReader(*body))
-	fail(err)
-	for _, h := range headers {
-		name, value, _ := strings.Cut(h, ":")
-		request.Header.Set(name, strings.TrimSpace(value))
+	response := send(*method, flag.Arg(0), *body, headers)
+	for tries := 1; *retry && response.Header.Get("Retry-After") != "" && tries < mostTries; tries++ {
+		after, err := strconv.Atoi(response.Header.Get("Retry-After"))
+		fail(err)
+		response.Body.Close()
+		<-time.After(time.Duration(after) * time.Second)
+		response = send(*method, flag.Arg(0), *body, headers)
 	}
-	client := &http.Client{Transport: &http.Transport{
-		DialContext: (&net.Dialer{Timeout: time.Second}).DialContext,
-	}}
-	response, err := client.Do(request)
-	fail(err)
 	defer response.Body.Close()
 	fmt.Println("status", response.StatusCode)
 	for _, name := range []string{"Content-Type", "Damask-Outcome"} {
@@ -118,6 +117,25 @@
 	return text
 }
 
+// mostTries bounds the requests of a caller that comes back.
+const mostTries = 10
+
+func send(method, url, body string, headers headerList) *http.Response {
+	request, err := http.NewRequestWithContext(context.Background(), method, url, strings.NewReader(body))
+	fail(err)
+	for _, h := range headers {
+		name, value, _ := strings.Cut(h, ":")
+		request.Header.Set(name, strings.TrimSpace(value))
+	}
+	client := &http.Client{Transport: &http.Transport{
+		DialContext: (&net.Dialer{Timeout: time.Second}).DialContext,
+	}}
+	response, err := client.Do(request)
+	fail(err)
+
+	return response
+}
+
 type headerList []string
 
 // String implements flag.Value.
--- a/internal/router/dump.go
+++ b/internal/router/dump.go
@@ -18,6 +18,7 @@
 	Index    uint64         `json:"index"`
 	Revision uint64         `json:"revision"`
 	Fresh    bool           `json:"fresh"`
+	Servers  int            `json:"servers"` // that requests can be sent to
 	Requests []RequestState `json:"requests"`
 	Sessions []SessionState `json:"sessions"`
 }
@@ -53,7 +54,8 @@
 	s := State{
 		Name: r.settings.Name, Region: r.settings.Region, Centre: r.settings.Centre, Epoch: r.epoch,
 		Leaving: r.leaving.Load(), Index: v.Index(), Revision: v.Revision(),
-		Fresh: r.control.Fresh(r.timers.Now()), Requests: r.requests(), Sessions: []SessionState{},
+		Fresh: r.control.Fresh(r.timers.Now()), Servers: r.fleet.count(),
+		Requests: r.requests(), Sessions: []SessionState{},
 	}
 	r.eachLink(func(l *link) { s.Sessions = append(s.Sessions, l.state()) })
 	slices.SortFunc(s.Sessions, func(a, b SessionState) int { return cmp.Compare(a.Server, b.Server) })
--- a/internal/router/fleet.go
+++ b/internal/router/fleet.go
@@ -45,6 +45,14 @@
 	}, nil
 }
 
+// count returns the number of backend servers of the last view.
+func (f *fleet) count() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+
+	return len(f.known)
+}
+
 // update applies a view. A server without a load report counts as empty.
 func (f *fleet) update(now time.Time, v View) {
 	f.mu.Lock()
