Test the stall of a transfer on a driven clock

Cause: TestImportStall/progress failed once in a full run on a loaded machine; 30 ms steps of the wall clock took longer than the 100 ms limit. Ruled out: a fault of the driver; the same steps pass on a driven clock. Conclusion: the watchdog takes its clock from a small interface.

--- a/internal/driver/driver.go
+++ b/internal/driver/driver.go
@@ -54,6 +54,7 @@
 type Client struct {
 	addr  string
 	stall time.Duration
+	clock clock
 	http  *http.Client
 }
 
@@ -62,7 +63,7 @@
 func New(addr string, stall time.Duration) *Client {
 	dialer := &net.Dialer{Timeout: dialTimeout}
 
-	return &Client{addr: addr, stall: stall, http: &http.Client{
+	return &Client{addr: addr, stall: stall, clock: wallClock{}, http: &http.Client{
 		Transport: &http.Transport{
 			DialContext: dialer.DialContext, MaxIdleConnsPerHost: idleConns,
 			DisableCompression: true,
--- a/internal/driver/driver_test.go
+++ b/internal/driver/driver_test.go
@@ -14,6 +14,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/damasklever/damasklever/internal/driver"
+	"github.com/damasklever/damasklever/internal/timer"
 )
 
 // serve starts a backend server and returns a client for it.
@@ -60,9 +61,24 @@
 	}
 }
 
+// armed tells of each watchdog that is started or fed.
+type armed struct {
+	*timer.Manual
+	fed chan struct{}
+}
+
+// After implements timer.Service.
+func (a armed) After(d time.Duration, fn func(now time.Time)) func() {
+	stop := a.Manual.After(d, fn)
+	a.fed <- struct{}{}
+
+	return stop
+}
+
 // Guards against a transfer that waits for ever, and against one that is
-// abandoned although it makes progress.
+// abandoned although it makes progress: ten steps take six times the limit.
 func TestImportStall(t *testing.T) {
+	const steps = 10
 	tests := map[string]struct {
 		step int
 		want error
@@ -72,20 +88,23 @@
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
+			clock := armed{timer.NewManual(time.Unix(0, 0)), make(chan struct{}, steps+1)}
 			c := serve(t, func(w http.ResponseWriter, r *http.Request) {
-				ticker := time.NewTicker(30 * time.Millisecond)
-				defer ticker.Stop()
-				for i := range 10 {
-					fmt.Fprintf(w, `{"moved":%d}`+"\n", i*test.step)
+				<-clock.fed
+				for i := range steps {
+					fmt.Fprintf(w, `{"moved":%d}`+"\n", (i+1)*test.step)
 					w.(http.Flusher).Flush()
-					select {
-					case <-ticker.C:
-					case <-r.Context().Done():
-						return
+					if test.step > 0 {
+						<-clock.fed
 					}
+					clock.Advance(60 * time.Millisecond)
+				}
+				if test.step == 0 {
+					<-r.Context().Done()
 				}
 				fmt.Fprintln(w, `{"done":true}`)
 			})
+			c.SetClock(clock)
 			err := c.Import(t.Context(), driver.Import{ID: "a"})
 			if !errors.Is(err, test.want) || (err == nil) != (test.want == nil) {
 				t.Errorf("got %v, want %v", err, test.want)
