--- a/cmd/damasklever/control.go
+++ b/cmd/damasklever/control.go
@@ -55,6 +55,9 @@
 	if err != nil {
 		return errors.Newf("set up control: %w", err)
 	}
+	if err := r.registry.Register(c); err != nil {
+		return errors.Newf("register metrics: %w", err)
+	}
 	r.drain = controlDrain
 	r.start, r.ready, r.done = c.Start, c.Ready, c.Done()
 	r.dump = func() any { return c.Dump() }
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -58,6 +58,7 @@
 	err      error
 
 	// The event loop owns what follows, together with core and state.
+	announced announced
 	applied   uint64
 	clock     int64 // Unix milliseconds of the last command
 	waiting   map[uint64]*waiter
