Wait for the reply to each renewal in its test

It moved the driven clock by 4 s while the agent's replies were still on their way, so the entry took the agent for silent (3.5 s) and closed the session. Ruled out: a lost renewal; each was sent. The dump shows the silence of each session, which also tells an operator which agent is slow. Conclusion: the check is the same, in the order that the clock implies.

--- a/internal/router/dump.go
+++ b/internal/router/dump.go
@@ -45,19 +45,20 @@
 	Epoch   uint64 `json:"epoch"`
 	Streams int    `json:"streams"`
 	Pending int    `json:"pending"` // withdrawals without confirmation
+	Silence int64  `json:"silence"` // milliseconds since the agent's last message, 0 while down
 	Error   string `json:"error,omitempty"`
 }
 
 // Dump returns the state of the process, the oldest requests first.
 func (r *Router) Dump() any {
-	v := r.control.View()
+	v, now := r.control.View(), r.timers.Now()
 	s := State{
 		Name: r.settings.Name, Region: r.settings.Region, Centre: r.settings.Centre, Epoch: r.epoch,
 		Leaving: r.leaving.Load(), Index: v.Index(), Revision: v.Revision(),
-		Fresh: r.control.Fresh(r.timers.Now()), Servers: r.fleet.count(),
+		Fresh: r.control.Fresh(now), Servers: r.fleet.count(),
 		Requests: r.requests(), Sessions: []SessionState{},
 	}
-	r.eachLink(func(l *link) { s.Sessions = append(s.Sessions, l.state()) })
+	r.eachLink(func(l *link) { s.Sessions = append(s.Sessions, l.state(now)) })
 	slices.SortFunc(s.Sessions, func(a, b SessionState) int { return cmp.Compare(a.Server, b.Server) })
 
 	return s
@@ -99,12 +100,15 @@
 	}
 }
 
-func (l *link) state() SessionState {
+func (l *link) state(now time.Time) SessionState {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	s := SessionState{
 		Server: l.name, Up: l.session != nil, Epoch: l.epoch, Streams: l.streams, Pending: len(l.pending),
 	}
+	if l.session != nil {
+		s.Silence = now.Sub(l.heard).Milliseconds()
+	}
 	if l.err != nil && l.session == nil {
 		s.Error = l.err.Error()
 	}
--- a/internal/router/link_test.go
+++ b/internal/router/link_test.go
@@ -153,6 +153,13 @@
 	for range 4 {
 		clock.Advance(time.Second)
 		agent.next("renewal", func(c *wire.Call) bool { return c.GetRenew() != nil })
+		// The clock stands, so the reply ends the silence; without the wait four
+		// replies on their way would look like a silent agent.
+		s.await("reply to a renewal", func() bool {
+			state, ok := s.entry.Dump().(router.State)
+
+			return ok && len(state.Sessions) == 1 && state.Sessions[0].Up && state.Sessions[0].Silence == 0
+		})
 	}
 	if h := agent.hellos[0]; h.GetEntry() != "e1" || h.GetEpoch() == 0 {
 		t.Errorf("hello: got %v, want the entry's name and epoch", h)
