--- a/internal/attendant/model_test.go
+++ b/internal/attendant/model_test.go
@@ -263,3 +263,23 @@
 	x.withdrawn("c", false)
 	h.freed()
 }
+
+// Guards against work that goes on for an entry process that has restarted, and
+// against an older process that comes back beside the newer one.
+func TestEntryRestarted(t *testing.T) {
+	h := newSite(t, fast("decode"))
+	x, before := h.open(), h.session
+	h.imported(x, "a", "notes")
+	h.dial(2)
+	x.ended(wire.Status_STATUS_REVOKED)
+	h.freed()
+	h.session = before
+	old := h.open()
+	old.ask("b", wire.Phase_PHASE_DECODE)
+	old.refused("old")
+	late := h.open()
+	late.send(&wire.Call{Body: &wire.Call_Hello{Hello: &wire.Hello{Entry: "e1", Epoch: 1}}})
+	if err := late.stream.Recv(&wire.Reply{}); err == nil {
+		t.Error("got a welcome for the older process, want the end of the stream")
+	}
+}
--- a/internal/attendant/plain_test.go
+++ b/internal/attendant/plain_test.go
@@ -189,3 +189,20 @@
 	h.ran(1)
 	h.slotsFree()
 }
+
+// Guards against a caller that is suspected of a crash although its call never
+// reached the service.
+func TestPlainUnsentIsNoSuspect(t *testing.T) {
+	h := newPlainSite(t)
+	x := h.open()
+	x.granted("a", wire.Phase_PHASE_PLAIN)
+	_ = h.plain.Close()
+	x.run()
+	x.refused("down")
+	for h.agent.Ready() {
+		pauseBriefly()
+	}
+	if got := h.agent.Dump().Suspects; len(got) > 0 {
+		t.Errorf("got suspects %v, want none", got)
+	}
+}
