--- a/internal/controller/loop.go
+++ b/internal/controller/loop.go
@@ -87,9 +87,14 @@
 // process syncs, sends and applies until the core has nothing more to do.
 func (c *Controller) process() error {
 	for {
+		if c.fault != nil {
+			return c.fault
+		}
 		r := c.core.Ready()
 		if r.Empty() {
-			return c.compact()
+			c.startCompact()
+
+			return nil
 		}
 		if err := c.persist(&r); err != nil {
 			return err
@@ -155,7 +160,7 @@
 			return errors.Newf("restore snapshot at %d: %w", s.GetIndex(), err)
 		}
 	}
-	c.compacted = s.GetIndex()
+	c.compacted, c.grown, c.packed = s.GetIndex(), 0, len(s.GetData())
 	for index, w := range c.waiting {
 		// The snapshot does not tell whether it holds this command.
 		if index <= s.GetIndex() {
@@ -187,6 +192,7 @@
 			c.changed()
 		}
 	}
+	c.grown += len(e.GetData())
 	c.reach(e.GetIndex())
 	if w := c.waiting[e.GetIndex()]; w != nil {
 		delete(c.waiting, e.GetIndex())
@@ -227,24 +233,3 @@
 	}
 	c.links.follow(c.members)
 }
-
-func (c *Controller) compact() error {
-	if c.applied < c.compacted+c.s.Compact {
-		return nil
-	}
-	data, err := c.state.Snapshot()
-	if err != nil {
-		return errors.Newf("take snapshot at %d: %w", c.applied, err)
-	}
-	s, err := c.core.Compact(c.applied, data)
-	if err != nil {
-		return errors.Newf("compact: %w", err)
-	}
-	if err := c.rec.Snapshot(s); err != nil {
-		return errors.Newf("sync snapshot: %w", err)
-	}
-	c.compacted = c.applied
-	c.s.Log.Info().Uint64("index", c.applied).Int("bytes", len(data)).Msg("snapshot taken")
-
-	return nil
-}
--- a/internal/controller/server.go
+++ b/internal/controller/server.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"math"
+	"math/rand/v2"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -17,6 +18,10 @@
 	agentRole = "agent"
 	// registerInterval is the time between attempts to register a process.
 	registerInterval = 500 * time.Millisecond
+	// updateInterval is the least time between two updates to one process. When
+	// thousands of processes register at the same time, each would otherwise get
+	// an update for each of the others.
+	updateInterval = 50 * time.Millisecond
 	// neverHeard is the lease in milliseconds of a host that has not heard from
 	// a majority since its start.
 	neverHeard = math.MaxInt32
@@ -104,8 +109,8 @@
 	}
 }
 
-// register proposes until a control host has an answer. The same start of the
-// same process has the same command id on every host, so it is applied once.
+// register proposes until a control host has an answer. The id is new for each
+// stream: a process that was taken for absent must count again when it returns.
 func (c *Controller) register(ctx context.Context, r *wire.Register, verb string) {
 	a := r.GetAttach()
 	attach := &wire.Attach{
@@ -113,7 +118,7 @@
 		Service: a.GetService(), Phase: a.GetPhase(), Pieces: a.GetPieces(), Epoch: a.GetEpoch(),
 	}
 	cmd := &wire.Command{
-		Id:     fmt.Sprintf("%s/%s/%s/%d", verb, a.GetRole(), a.GetName(), a.GetEpoch()),
+		Id:     fmt.Sprintf("%s/%s/%s/%d/%x", verb, a.GetRole(), a.GetName(), a.GetEpoch(), rand.Uint64()), //nolint:gosec // no secret
 		Who:    a.GetName(),
 		Expect: -1,
 		Body:   &wire.Command_Register{Register: &wire.Register{Attach: attach, Gone: r.GetGone()}},
@@ -149,14 +154,15 @@
 	first := true
 	for ctx.Err() == nil {
 		bell := c.desk.changed()
-		var err error
-		if sent, err = c.sendUpdate(s, sent, first); err != nil {
+		next, err := c.sendUpdate(s, sent, first)
+		if err != nil {
 			return
 		}
-		first = false
+		sent, first = next, false
 		select {
 		case <-ctx.Done():
 		case <-bell:
+			c.pause(ctx, updateInterval)
 		case <-pulse:
 			if c.sendPulse(s, sent) != nil {
 				return
--- a/internal/replicator/replicator.go
+++ b/internal/replicator/replicator.go
@@ -80,7 +80,8 @@
 	ID, Term, Leader      uint64
 	Role                  Role
 	Commit, Last, Applied uint64
-	Members               *wire.Members
+	Members               *wire.Members     // in force, committed or not
+	Settled               *wire.Members     // the last committed ones
 	Match                 map[uint64]uint64 // on the leader, by member
 }
 
@@ -192,14 +193,23 @@
 	}
 }
 
-// Compact takes a snapshot of the state after the entry at index.
-func (c *Core) Compact(index uint64, data []byte) (*wire.Snapshot, error) {
+// Mark returns a snapshot of the state after the entry at index, without data.
+func (c *Core) Mark(index uint64) (*wire.Snapshot, error) {
 	term, ok := c.log.term(index)
 	if !ok || index > c.log.handed || index < c.log.snapshot.GetIndex() {
-		return nil, errors.Newf("compact at %d: not between %d and %d", index, c.log.snapshot.GetIndex(), c.log.handed)
+		return nil, errors.Newf("mark %d: not between %d and %d", index, c.log.snapshot.GetIndex(), c.log.handed)
 	}
-	s := &wire.Snapshot{Index: index, Term: term, Members: c.log.membersAt(index), Data: data}
-	keep := index
+
+	return &wire.Snapshot{Index: index, Term: term, Members: c.log.membersAt(index)}, nil
+}
+
+// Compact replaces the log up to the snapshot, which Mark returned and to which
+// the caller has added the data.
+func (c *Core) Compact(s *wire.Snapshot) error {
+	if index := s.GetIndex(); index > c.log.handed || index < c.log.snapshot.GetIndex() {
+		return errors.Newf("compact at %d: not between %d and %d", index, c.log.snapshot.GetIndex(), c.log.handed)
+	}
+	keep := s.GetIndex()
 	for _, p := range c.progress {
 		if c.now.Sub(p.heard) < c.s.Election {
 			keep = min(keep, p.match)
@@ -207,7 +217,7 @@
 	}
 	c.log.compact(s, keep)
 
-	return s, nil
+	return nil
 }
 
 // Ready returns the work to do. Advance must follow before the next call.
@@ -244,7 +254,8 @@
 	m, _ := c.log.members()
 	st := Status{
 		ID: c.s.ID, Term: c.term, Leader: c.leader, Role: c.role, Commit: c.log.commit,
-		Last: c.log.last(), Applied: c.log.handed, Members: cloneMembers(m), Match: make(map[uint64]uint64),
+		Last: c.log.last(), Applied: c.log.handed, Members: cloneMembers(m),
+		Settled: cloneMembers(c.log.membersAt(c.log.commit)), Match: make(map[uint64]uint64),
 	}
 	for id, p := range c.progress {
 		st.Match[id] = p.match
