Let the queue and not the prefill engine decide the order

Cause: the agent granted every prefill that fitted into memory, so the engine held a long queue of its own and urgent asks waited behind it. Settings.Memory counts the pieces of grants and of kept results, and Keep frees the slot at the end of a prefill. The setting 'slots' replaces a constant, so that the test of a crash with three grants keeps all its checks. TestKeep fails without the count of kept results.

--- a/cmd/damasklever/agent.go
+++ b/cmd/damasklever/agent.go
@@ -33,7 +33,7 @@
 func agentSettings(s configurer.Agent) attendant.Settings {
 	return attendant.Settings{
 		Name: s.Name, Listen: s.Listen, Addr: s.Advertise, Backend: s.Backend, Control: s.Control,
-		Region: s.Region, Centre: s.Centre, Service: s.Service, Phase: s.Phase, Pieces: s.Pieces, Hosts: s.Hosts,
+		Region: s.Region, Centre: s.Centre, Service: s.Service, Phase: s.Phase, Pieces: s.Pieces, Slots: s.Slots, Hosts: s.Hosts,
 	}
 }
 
--- a/internal/attendant/control.go
+++ b/internal/attendant/control.go
@@ -156,10 +156,12 @@
 func queueSettings(s Settings, v View) granter.Settings {
 	q := granter.Defaults(int(s.Pieces))
 	q.Lease = s.Lease
-	if s.Phase == phasePlain {
+	switch s.Phase {
+	case phasePlain:
 		q.Slots = int(s.Pieces)
+	case phasePrefill:
+		q.Serial, q.Slots, q.Memory = true, int(s.Slots), int(s.Pieces)
 	}
-	q.Serial = s.Phase == phasePrefill
 	ranks := v.Ranks()
 	if len(ranks) == 0 {
 		return q
--- a/internal/attendant/finish.go
+++ b/internal/attendant/finish.go
@@ -47,6 +47,9 @@
 	case o.prefilled != nil:
 		k.move(now, a, stageReady)
 		k.reply(a, &wire.Reply{Body: &wire.Reply_Prefilled{Prefilled: o.prefilled}})
+		// The next prefill may start; the result holds its pieces until it is
+		// handed over or evicted.
+		k.decide(now, k.queue.Keep(now, id))
 	case o.imported:
 		k.move(now, a, stageReady)
 		k.reply(a, &wire.Reply{Body: &wire.Reply_Imported{Imported: &wire.Imported{Id: id}}})
--- a/internal/attendant/keeper.go
+++ b/internal/attendant/keeper.go
@@ -20,6 +20,7 @@
 	Withdraw(now time.Time, id string) []granter.Decision
 	Withdrawn(now time.Time, id string) bool
 	Release(now time.Time, id string) []granter.Decision
+	Keep(now time.Time, id string) []granter.Decision
 	Renew(now time.Time, entry string)
 	Tick(now time.Time) []granter.Decision
 	Load(now time.Time) granter.Load
--- a/internal/attendant/rig_test.go
+++ b/internal/attendant/rig_test.go
@@ -231,11 +231,15 @@
 	return h
 }
 
+// rigSlots lets one prefill run, one crash the engine and one wait for its
+// dispatch at the same time.
+const rigSlots = 3
+
 func (h *site) start(backend, phase string, pieces int64) {
 	h.t.Helper()
 	agent, err := attendant.New(attendant.Settings{
 		Name: "s1", Service: "desk", Region: "kochi", Backend: backend, Phase: phase,
-		Pieces: pieces, Stall: 300 * time.Millisecond,
+		Pieces: pieces, Slots: rigSlots, Stall: 300 * time.Millisecond,
 	}, attendant.Deps{Timer: h.clock, Log: logTo(h.t), Control: h.control})
 	if err != nil {
 		h.t.Fatal(err)
--- a/internal/attendant/settings.go
+++ b/internal/attendant/settings.go
@@ -12,9 +12,13 @@
 )
 
 const (
-	defaultLease   = 3 * time.Second
-	defaultLinger  = 10 * time.Second
-	defaultPieces  = 40
+	defaultLease  = 3 * time.Second
+	defaultLinger = 10 * time.Second
+	defaultPieces = 40
+	// defaultSlots keeps one prefill waiting in the engine, so that it is never
+	// idle between two of them. With more, the engine and not the queue decides
+	// the order, and urgent asks wait behind all that was granted.
+	defaultSlots   = 2
 	defaultStall   = 500 * time.Millisecond
 	defaultTimeout = 30 * time.Second
 	defaultDrain   = 5 * time.Minute
@@ -32,6 +36,7 @@
 	Service string
 	Phase   string // prefill, decode or plain
 	Pieces  int64  // memory pieces, or call slots of a plain service
+	Slots   int64  // prefills granted at a time on a prefill server
 	Hosts   string // file with the host list; empty for none
 	Host    string // name of this host in the list, the address of Addr if empty
 	// Lease is the time without a Renew after which an entry's grants end.
@@ -58,6 +63,9 @@
 	if s.Pieces == 0 {
 		s.Pieces = defaultPieces
 	}
+	if s.Slots == 0 {
+		s.Slots = defaultSlots
+	}
 	if s.Lease == 0 {
 		s.Lease = defaultLease
 	}
@@ -98,6 +106,7 @@
 	add(s.Phase != phasePrefill && s.Phase != phaseDecode && s.Phase != phasePlain,
 		"phase: %q is not prefill, decode or plain", s.Phase)
 	add(s.Pieces < 1, "pieces: %d is less than 1", s.Pieces)
+	add(s.Slots < 1, "slots: %d is less than 1", s.Slots)
 	add(s.Lease < time.Second, "lease: %s is less than 1s", s.Lease)
 	add(s.Linger <= 0, "linger: %s is not positive", s.Linger)
 	add(s.Stall <= 0, "stall: %s is not positive", s.Stall)
--- a/internal/configurer/agent.go
+++ b/internal/configurer/agent.go
@@ -16,6 +16,7 @@
 	Service   string
 	Phase     string        // prefill, decode or plain
 	Pieces    int64         // memory pieces, or call slots of a plain service
+	Slots     int64         // prefills granted at a time
 	Hosts     string        // file with the platform's host list, or empty
 	Drain     time.Duration // waits this long for work in flight
 }
@@ -29,6 +30,7 @@
 		Option{"service", "", "name of the service that the backend server belongs to"},
 		Option{"phase", "", "work of the backend server: prefill, decode or plain"},
 		Option{"pieces", "", "memory of the engine in pieces of 2048 tokens, or calls that a plain service runs at once"},
+		Option{"slots", "2", "prefills that a prefill server is granted at a time; 2 keeps it busy, more lets urgent work wait"},
 		Option{"hosts", "", "file with the platform's list of hosts, for the agent to learn that its host leaves"},
 		Option{"drain", "5m", "longest wait for work in flight at a shutdown"},
 	)
@@ -43,7 +45,8 @@
 		Backend: r.address("backend"),
 		Service: r.word("service"),
 		Phase:   r.choice("phase", "prefill", "decode", "plain"),
-		Pieces:  r.integer("pieces", 1, maxPieces),
+		Pieces:  r.positive("pieces", maxPieces),
+		Slots:   r.positive("slots", maxPieces),
 		Hosts:   r.text("hosts"),
 		Drain:   r.duration("drain", 0, maxDrain),
 	}
--- a/internal/configurer/control.go
+++ b/internal/configurer/control.go
@@ -37,7 +37,7 @@
 		Process: r.process(false),
 		Listen:  r.address("listen"),
 		Data:    r.text("data"),
-		ID:      uint64(r.integer("id", 1, math.MaxInt64)),
+		ID:      uint64(r.positive("id", math.MaxInt64)),
 		Members: r.members("members"),
 		Join:    r.choice("join", "true", "false") == "true",
 	}
--- a/internal/configurer/entry.go
+++ b/internal/configurer/entry.go
@@ -56,7 +56,7 @@
 	e := Entry{
 		Process: r.process(true),
 		Listen:  r.address("listen"),
-		Body:    r.integer("body", 1, maxBody),
+		Body:    r.positive("body", maxBody),
 		Linger:  r.duration("linger", 0, maxLinger),
 		Drain:   r.duration("drain", 0, maxDrain),
 	}
--- a/internal/configurer/reader.go
+++ b/internal/configurer/reader.go
@@ -125,16 +125,17 @@
 	return list
 }
 
-func (r *reader) integer(flag string, low, high int64) int64 {
+// positive reads a whole number from 1 to high.
+func (r *reader) positive(flag string, high int64) int64 {
 	text := r.text(flag)
 	n, err := strconv.ParseInt(text, 10, 64)
 	if err != nil {
 		r.fail(flag, "%q is not a whole number", text)
 
-		return low
+		return 1
 	}
-	if n < low || n > high {
-		r.fail(flag, "%d is not between %d and %d", n, low, high)
+	if n < 1 || n > high {
+		r.fail(flag, "%d is not between 1 and %d", n, high)
 	}
 
 	return n
--- a/internal/granter/estimate.go
+++ b/internal/granter/estimate.go
@@ -42,6 +42,9 @@
 // that are neither occupied nor promised. A promise may count on releases until
 // it becomes firm, less Settings.Caution standard deviations.
 func (g *Granter) fits(now time.Time, it *item) bool {
+	if !g.remembers(it) {
+		return false
+	}
 	free := float64(g.s.units())
 	var released, variance float64
 	for _, h := range g.held {
@@ -61,6 +64,23 @@
 	return float64(it.units) <= free+max(released-g.s.Caution*math.Sqrt(variance), 0)
 }
 
+// remembers tells whether the pieces of an ask fit beside those of the grants
+// and the kept results, where Settings.Memory bounds them.
+func (g *Granter) remembers(it *item) bool {
+	if g.s.Slots == 0 || g.s.Memory == 0 {
+		return true
+	}
+	pieces := it.Pieces
+	for _, h := range g.held {
+		pieces += h.Pieces
+	}
+	for _, n := range g.kept {
+		pieces += n
+	}
+
+	return pieces <= g.s.Memory
+}
+
 // headroom is the number of units kept free for the asks of more urgent ranks
 // that are expected, because running work is never interrupted for them. A rank
 // below its floor need not leave any, nor an ask whose prefill is done.
--- a/internal/granter/granter.go
+++ b/internal/granter/granter.go
@@ -72,7 +72,8 @@
 type Granter struct {
 	s        Settings
 	items    map[string]*item
-	held     []*item // granted, in order of grant
+	held     []*item        // granted, in order of grant
+	kept     map[string]int // pieces of results that outlive their grant
 	classes  []*class
 	entries  map[string]time.Time // last sign of life
 	gone     memory
@@ -90,7 +91,7 @@
 		return nil, err
 	}
 	g := &Granter{
-		s: s, items: map[string]*item{}, entries: map[string]time.Time{},
+		s: s, items: map[string]*item{}, entries: map[string]time.Time{}, kept: map[string]int{},
 		gone: memory{since: map[string]time.Time{}},
 	}
 	g.resize()
@@ -169,14 +170,26 @@
 // dispatch of it is discarded.
 func (g *Granter) Withdraw(now time.Time, id string) []Decision {
 	g.gone.add(now, id, g.s)
-	if it := g.items[id]; it != nil {
-		g.drop(now, it)
+	if g.discard(now, id) {
 		g.serve(now)
 	}
 
 	return g.take()
 }
 
+// discard forgets an ask, a grant or a kept result and reports whether there
+// was one.
+func (g *Granter) discard(now time.Time, id string) bool {
+	_, kept := g.kept[id]
+	delete(g.kept, id)
+	it := g.items[id]
+	if it != nil {
+		g.drop(now, it)
+	}
+
+	return kept || it != nil
+}
+
 // Withdrawn tells whether id was withdrawn and is still remembered.
 func (g *Granter) Withdrawn(now time.Time, id string) bool {
 	g.gone.prune(now, g.s)
@@ -185,19 +198,39 @@
 	return ok
 }
 
-// Release frees the units of id after its work has ended.
+// Release frees the units of id after its work has ended, and the pieces of its
+// result.
 func (g *Granter) Release(now time.Time, id string) []Decision {
-	if it := g.items[id]; it != nil {
-		if it.state == used && it.Cost > 0 {
-			g.life.add(float64(now.Sub(it.firm)) / float64(it.Cost))
-		}
-		g.drop(now, it)
+	g.learn(now, id)
+	if g.discard(now, id) {
 		g.serve(now)
 	}
 
 	return g.take()
 }
 
+// Keep frees the slot of id after its work has ended, while its result still
+// holds its pieces of Settings.Memory. Release or Withdraw frees those.
+func (g *Granter) Keep(now time.Time, id string) []Decision {
+	it := g.items[id]
+	if it == nil || it.state != used {
+		return g.take()
+	}
+	g.learn(now, id)
+	g.drop(now, it)
+	g.kept[id] = it.Pieces
+	g.serve(now)
+
+	return g.take()
+}
+
+// learn takes the time that a grant was in use into account for estimates.
+func (g *Granter) learn(now time.Time, id string) {
+	if it := g.items[id]; it != nil && it.state == used && it.Cost > 0 {
+		g.life.add(float64(now.Sub(it.firm)) / float64(it.Cost))
+	}
+}
+
 // Renew renews the lease on every grant of entry.
 func (g *Granter) Renew(now time.Time, entry string) {
 	if _, ok := g.entries[entry]; ok {
@@ -264,11 +297,11 @@
 		return ReasonInvalid
 	case gone:
 		return ReasonWithdrawn
-	case g.items[a.ID] != nil:
+	case g.items[a.ID] != nil || g.kept[a.ID] > 0:
 		return ReasonDuplicate
 	case g.draining:
 		return ReasonDrain
-	case units > g.s.units():
+	case units > g.s.units() || g.s.Slots > 0 && g.s.Memory > 0 && a.Pieces > g.s.Memory:
 		return ReasonSize
 	}
 
--- /dev/null
+++ b/internal/granter/keep_test.go
@@ -0,0 +1,47 @@
+package granter_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/damasklever/damasklever/internal/granter"
+)
+
+// Guards against prefill results that hold memory which is granted again, and
+// against results that keep the next prefill from its slot.
+func TestKeep(t *testing.T) {
+	now := time.Unix(100, 0)
+	s := granter.Defaults(10)
+	s.Serial, s.Slots, s.Memory = true, 1, 10
+	g, err := granter.New(s)
+	if err != nil {
+		t.Fatal(err)
+	}
+	ask := func(id string, pieces int) []granter.Decision {
+		return g.Ask(now, granter.Ask{
+			ID: id, Entry: "e", Caller: "c", Pieces: pieces, Cost: 100 * time.Millisecond, Due: now.Add(10 * time.Second),
+		})
+	}
+	check := func(step string, got []granter.Decision, want ...string) {
+		t.Helper()
+		var ids []string
+		for _, d := range got {
+			if d.Kind == granter.Granted {
+				ids = append(ids, d.ID)
+			}
+		}
+		if len(ids) != len(want) || len(want) > 0 && ids[0] != want[0] {
+			t.Errorf("%s: got grants %v, want %v", step, ids, want)
+		}
+	}
+	check("first", ask("a", 6), "a")
+	check("slot taken", ask("b", 4))
+	check("slot free, memory fits", g.Keep(now, "a"), "b")
+	check("next waits for the slot", ask("c", 4))
+	check("memory is kept by a and b", g.Keep(now, "b"))
+	check("memory of a is free", g.Release(now, "a"), "c")
+	check("late copy", ask("b", 1))
+	if got := ask("d", 11); len(got) != 1 || got[0].Reason != granter.ReasonSize {
+		t.Errorf("over the memory: got %v, want reason %q", got, granter.ReasonSize)
+	}
+}
--- a/internal/granter/settings.go
+++ b/internal/granter/settings.go
@@ -15,7 +15,8 @@
 // Settings of a Granter. Ranks are ordered, the most urgent first.
 type Settings struct {
 	Total     int           // memory pieces, or call slots
-	Slots     int           // if positive, grants at a time; pieces are then not counted
+	Slots     int           // if positive, grants at a time; pieces are then counted by Memory alone
+	Memory    int           // with Slots: pieces that grants and kept results may hold together, 0 for no bound
 	Serial    bool          // the server runs its grants one after another (prefill)
 	Ranks     []Rank        // at least one
 	Headroom  int           // percent of the units kept free for more urgent ranks that asked lately
@@ -47,8 +48,8 @@
 	if s.Total <= 0 {
 		return errors.Newf("total: %d pieces, want at least 1", s.Total)
 	}
-	if s.Slots < 0 {
-		return errors.Newf("slots: %d, want 0 or more", s.Slots)
+	if s.Slots < 0 || s.Memory < 0 {
+		return errors.Newf("slots %d and memory %d, want 0 or more", s.Slots, s.Memory)
 	}
 	if len(s.Ranks) == 0 {
 		return errors.New("ranks: none given")
