--- a/internal/registrar/update_test.go
+++ b/internal/registrar/update_test.go
@@ -243,10 +243,13 @@
 
 const fleet = 12_000
 
-func newFleet(b *testing.B) *machine {
+// sizes are the numbers of servers from which slopes are taken.
+var sizes = []int{1000, 4000, fleet}
+
+func newFleet(b *testing.B, servers int) *machine {
 	m := newMachine(b)
 	m.must(base)
-	for n := range fleet {
+	for n := range servers {
 		m.register(fmt.Sprintf("desk-%05d", n), 1, false)
 	}
 
@@ -254,7 +257,7 @@
 }
 
 func BenchmarkApplyChange(b *testing.B) {
-	m := newFleet(b)
+	m := newFleet(b, fleet)
 	cmd := change(b, "", "change rank drill floor=10%")
 	for n := 0; b.Loop(); n++ {
 		cmd.Id = fmt.Sprint(n)
@@ -263,7 +266,7 @@
 }
 
 func BenchmarkApplyClaim(b *testing.B) {
-	m := newFleet(b)
+	m := newFleet(b, fleet)
 	for n := 0; b.Loop(); n++ {
 		m.now = m.now.Add(time.Millisecond)
 		key := fmt.Sprint(n)
@@ -275,23 +278,29 @@
 // BenchmarkUpdateSince reports the bytes of an update after one change, and of a
 // snapshot.
 func BenchmarkUpdateSince(b *testing.B) {
-	m := newFleet(b)
-	before := m.Index()
-	m.must("change rank drill floor=10%; drain server desk-00007")
-	for name, since := range map[string]uint64{"one": before, "full": 0} {
-		b.Run(name, func(b *testing.B) {
-			var u *wire.Update
-			for b.Loop() {
-				u = m.UpdateSince(since)
-			}
-			b.ReportMetric(float64(sizeOf(u)), "bytes")
-		})
+	for _, servers := range sizes {
+		m := newFleet(b, servers)
+		before := m.Index()
+		m.must("change rank drill floor=10%; drain server desk-00007")
+		for name, since := range map[string]uint64{"one": before, "full": 0} {
+			b.Run(fmt.Sprintf("%s/servers=%d", name, servers), func(b *testing.B) {
+				var u *wire.Update
+				for b.Loop() {
+					u = m.UpdateSince(since)
+				}
+				b.ReportMetric(float64(sizeOf(u)), "bytes")
+			})
+		}
 	}
 }
 
 func BenchmarkSnapshot(b *testing.B) {
-	m := newFleet(b)
-	for b.Loop() {
-		b.ReportMetric(float64(len(m.state())), "bytes")
+	for _, servers := range sizes {
+		b.Run(fmt.Sprintf("servers=%d", servers), func(b *testing.B) {
+			m := newFleet(b, servers)
+			for b.Loop() {
+				b.ReportMetric(float64(len(m.state())), "bytes")
+			}
+		})
 	}
 }
--- a/internal/subscriber/subscriber_test.go
+++ b/internal/subscriber/subscriber_test.go
@@ -356,19 +356,23 @@
 
 // BenchmarkView measures one change in a view of 12,000 servers.
 func BenchmarkView(b *testing.B) {
-	c := newControl()
-	sub, _ := start(b, settings(c, "a:1"))
-	one := <-c.seats
-	u := &wire.Update{Index: 1, Full: true}
-	for n := range 12_000 {
-		u.Servers = append(u.Servers, &wire.Server{Name: fmt.Sprintf("desk-%05d", n), Service: "desk", Region: "kochi"})
-	}
-	first := sub.Changed()
-	one.update(u)
-	<-first
-	for b.Loop() {
-		changed := sub.Changed()
-		one.update(&wire.Update{Index: sub.View().Index() + 1, Servers: u.GetServers()[7:8]})
-		<-changed
+	for _, servers := range []int{1000, 4000, 12_000} {
+		b.Run(fmt.Sprintf("servers=%d", servers), func(b *testing.B) {
+			c := newControl()
+			sub, _ := start(b, settings(c, "a:1"))
+			one := <-c.seats
+			u := &wire.Update{Index: 1, Full: true}
+			for n := range servers {
+				u.Servers = append(u.Servers, &wire.Server{Name: fmt.Sprintf("desk-%05d", n), Service: "desk", Region: "kochi"})
+			}
+			first := sub.Changed()
+			one.update(u)
+			<-first
+			for b.Loop() {
+				changed := sub.Changed()
+				one.update(&wire.Update{Index: sub.View().Index() + 1, Servers: u.GetServers()[7:8]})
+				<-changed
+			}
+		})
 	}
 }
