Hand the leadership over when a control host is closed

A leader that was stopped on purpose cost the others an election timeout without bookings; it now asks the follower that lacks least to take over, which needs no pre-vote, and waits for it. If the request is lost, it serves again after an election timeout. Random schedules yield at any time; the two tests of a killed leader now kill it by its disk, as Close is no loss any more. The race detector found that a stream could be served before the host had its links; streams now wait for the start.

--- a/internal/controller/bench_test.go
+++ b/internal/controller/bench_test.go
@@ -121,7 +121,7 @@
 		hosts := cluster(b, 3)
 		l, rest := leader(b, hosts)
 		apply(b, l, change("first"))
-		_ = l.Close()
+		kill(b, l)
 		b.StartTimer()
 		begin := time.Now()
 		apply(b, rest[0], change("second"))
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -24,6 +24,8 @@
 	// ticksPerHeartbeat is how often the core is told the time.
 	ticksPerHeartbeat = 4
 	eventBacklog      = 1024
+	// yieldInterval is the time between two looks whether another host leads.
+	yieldInterval = 5 * time.Millisecond
 	// eventsPerRound bounds how many events share one sync.
 	eventsPerRound = 512
 )
@@ -50,6 +52,7 @@
 	inbox    chan *wire.Peer
 	ticks    chan time.Time
 	looped   chan struct{} // closed when the event loop has ended
+	started  chan struct{} // closed when streams can be served
 	done     chan struct{}
 	once     sync.Once
 	founded  atomic.Bool
@@ -89,7 +92,7 @@
 	c := &Controller{
 		s: s, rec: rec, state: s.State,
 		events: make(chan func(), eventBacklog), inbox: make(chan *wire.Peer, eventBacklog),
-		ticks: make(chan time.Time, 1), looped: make(chan struct{}), done: make(chan struct{}),
+		ticks: make(chan time.Time, 1), looped: make(chan struct{}), started: make(chan struct{}), done: make(chan struct{}),
 		waiting: make(map[uint64]*waiter), reading: make(map[uint64]chan replicator.Read),
 		arrivals: make(map[uint64][]chan struct{}), updates: make(map[uint64]*wire.Update),
 		desk: newDesk(),
@@ -129,6 +132,7 @@
 	c.me.Addr = c.address(l.Addr())
 	c.links = newLinks(c.ctx, c.me, &c.work)
 	c.mu.Unlock()
+	close(c.started)
 	c.work.Add(1)
 	go func() {
 		defer c.work.Done()
@@ -224,9 +228,23 @@
 	go func() { _ = c.Close() }()
 }
 
-// Close ends the process, closes the data directory and waits for both.
+// yield hands the leadership over and waits for it, so that the end of the leader
+// costs no election timeout.
+func (c *Controller) yield() {
+	ctx, cancel := c.within(c.ctx, c.s.Election)
+	defer cancel()
+	leads := false
+	c.do(func() { leads = c.core.Yield() })
+	for leads && c.pause(ctx, yieldInterval) {
+		leads = false
+		c.do(func() { leads = c.core.Status().Role == replicator.Leader })
+	}
+}
+
+// Close hands the leadership over, ends the process, closes the data directory and waits for both.
 func (c *Controller) Close() error {
 	c.once.Do(func() {
+		c.yield()
 		c.cancel()
 		c.mu.Lock()
 		l := c.listener
--- a/internal/controller/controller_test.go
+++ b/internal/controller/controller_test.go
@@ -25,6 +25,7 @@
 	*controller.Controller
 	settings controller.Settings
 	state    *fakeState
+	disk     *limited
 }
 
 func settings(folder string) controller.Settings {
@@ -40,6 +41,14 @@
 	t.Helper()
 	h := &host{settings: s, state: newFakeState()}
 	s.State = h.state
+	if s.Files == nil {
+		files, err := recorder.OpenFolder(s.Folder)
+		if err != nil {
+			t.Fatal(err)
+		}
+		h.disk = &limited{Files: files}
+		s.Files = h.disk
+	}
 	var err error
 	if h.Controller, err = controller.New(s); err != nil {
 		t.Fatal(err)
@@ -165,7 +174,7 @@
 }
 
 // Guards against a follower that does not forward, and against a change that is
-// lost when the leader ends right after it acknowledged it.
+// lost when the leader dies right after it acknowledged it.
 func TestThreeMembersSurviveLossOfLeader(t *testing.T) {
 	hosts := cluster(t, 3)
 	for i := range 10 {
@@ -174,17 +183,8 @@
 			t.Fatalf("revision: got %d, want %d", got, want)
 		}
 	}
-	var rest []*host
-	for _, h := range hosts {
-		if h.Dump().Role == "leader" {
-			_ = h.Close()
-		} else {
-			rest = append(rest, h)
-		}
-	}
-	if got, want := len(rest), 2; got != want {
-		t.Fatalf("hosts without the leader: got %d, want %d", got, want)
-	}
+	l, rest := leader(t, hosts)
+	kill(t, l)
 	for _, h := range rest {
 		table := query(t, h, "services")
 		if got, want := table.GetRows()[0].GetCells()[0], "10"; got != want || table.GetStale() {
@@ -196,6 +196,29 @@
 	}
 }
 
+// kill ends a host without a word to the others: it stops at the first write that
+// its disk does not take.
+func kill(t testing.TB, h *host) {
+	t.Helper()
+	h.disk.full.Store(true)
+	s := open(t, h, &wire.Request{Body: &wire.Request_Command{Command: change("lost with " + h.settings.Folder)}})
+	defer func() { _ = s.Close() }()
+	<-h.Done()
+}
+
+// Guards against an election timeout without a leader each time that the leader
+// is stopped on purpose.
+func TestLeaderThatIsClosedHandsOver(t *testing.T) {
+	hosts := cluster(t, 3)
+	l, rest := leader(t, hosts)
+	apply(t, l, change("1"))
+	until(func() bool { return rest[0].Dump().Applied == l.Dump().Applied })
+	_ = l.Close()
+	if got, want := rest[0].Dump().Role == "leader" || rest[1].Dump().Role == "leader", true; got != want {
+		t.Errorf("another host leads when the leader has ended: got %t, want %t", got, want)
+	}
+}
+
 // restart starts a host again with the same settings. With lost its data
 // directory is empty.
 func restart(t testing.TB, h *host, lost bool) *host {
@@ -257,7 +280,7 @@
 
 		return len(members) == 3 && !slices.ContainsFunc(members, func(m controller.Member) bool { return m.Learner })
 	})
-	_ = l.Close()
+	kill(t, l)
 	for _, h := range []*host{fresh, rest[1]} {
 		table := query(t, h, "services")
 		if got, want := table.GetRows()[0].GetCells()[0], "21"; got != want || table.GetStale() {
--- a/internal/controller/founder.go
+++ b/internal/controller/founder.go
@@ -14,6 +14,8 @@
 const (
 	greetInterval = 200 * time.Millisecond
 	greetTimeout  = 2 * time.Second
+	// greetRounds is the number of rounds between two log lines.
+	greetRounds = 25
 	// The first snapshot of a cluster holds its members and nothing else.
 	firstIndex = 1
 	firstTerm  = 1
@@ -51,12 +53,15 @@
 // member that knows the cluster is enough to tell: the others may be down.
 func (c *Controller) meet() (*wire.Members, error) {
 	met := map[uint64]*wire.Member{c.s.Number: c.me}
-	for {
+	for round := 0; ; round++ {
 		for _, m := range c.s.Members {
 			if met[m.GetNumber()] != nil {
 				continue
 			}
 			g, err := c.greet(c.ctx, m.GetAddr())
+			if err != nil && round%greetRounds != 0 {
+				continue
+			}
 			if err != nil {
 				c.s.Log.Info().Uint64("number", m.GetNumber()).Str("addr", m.GetAddr()).Err(err).Msg("waiting for member")
 
--- a/internal/controller/server.go
+++ b/internal/controller/server.go
@@ -33,6 +33,11 @@
 	if s.Recv(&r) != nil {
 		return
 	}
+	select {
+	case <-c.started:
+	case <-ctx.Done():
+		return
+	}
 	switch body := r.GetBody().(type) {
 	case *wire.Request_Attach:
 		c.attach(ctx, s, body.Attach)
--- a/internal/replicator/election.go
+++ b/internal/replicator/election.go
@@ -15,7 +15,7 @@
 	c.role = Prober
 	c.granted = map[uint64]bool{c.s.ID: true}
 	if c.won() {
-		c.campaign()
+		c.campaign(false)
 
 		return
 	}
@@ -43,11 +43,41 @@
 	}
 	c.granted[from] = true
 	if c.won() {
-		c.campaign()
+		c.campaign(false)
 	}
 }
 
-func (c *Core) campaign() {
+// Yield asks the follower that lacks least to take over, because this leader is
+// about to end. It appends nothing for an election timeout. Yield returns false if
+// there is nobody to ask. The caller goes on with Ready until Status names another leader.
+func (c *Core) Yield() bool {
+	best := uint64(0)
+	for id := range sorted(c.voters()) {
+		p := c.progress[id]
+		if p == nil || p.expelled || c.now.Sub(p.heard) >= c.s.Election {
+			continue
+		}
+		if best == 0 || p.match > c.progress[best].match {
+			best = id
+		}
+	}
+	if c.role != Leader || best == 0 {
+		return false
+	}
+	c.yielding, c.yielded = true, c.now
+	c.flush()
+	c.send(best, &wire.Peer{Body: &wire.Peer_Yield{Yield: &wire.Yield{}}})
+
+	return true
+}
+
+func (c *Core) stepYield(from uint64) {
+	if c.role == Follower && c.leader == from && c.voters()[c.s.ID] {
+		c.campaign(true)
+	}
+}
+
+func (c *Core) campaign(yielded bool) {
 	c.role = Candidate
 	c.setTerm(c.term+1, c.s.ID)
 	c.granted = map[uint64]bool{c.s.ID: true}
@@ -60,7 +90,9 @@
 	index, term := c.log.last(), c.log.lastTerm()
 	for id := range sorted(c.voters()) {
 		if id != c.s.ID {
-			c.send(id, &wire.Peer{Body: &wire.Peer_Ballot{Ballot: &wire.Ballot{Index: index, Term: term}}})
+			c.send(id, &wire.Peer{Body: &wire.Peer_Ballot{Ballot: &wire.Ballot{
+				Index: index, Term: term, Yielded: yielded,
+			}}})
 		}
 	}
 }
--- a/internal/replicator/leader.go
+++ b/internal/replicator/leader.go
@@ -70,6 +70,10 @@
 
 		return
 	}
+	if c.yielding && c.now.Sub(c.yielded) >= c.s.Election {
+		// The member that was asked did not take over.
+		c.yielding = false
+	}
 	if c.now.Before(c.deadline) {
 		return
 	}
--- a/internal/replicator/membership.go
+++ b/internal/replicator/membership.go
@@ -53,7 +53,7 @@
 // committed in its own term: otherwise two leaders could each commit a change
 // with majorities that do not overlap.
 func (c *Core) changeable() error {
-	if c.role != Leader {
+	if c.role != Leader || c.yielding {
 		return ErrNotLeader
 	}
 	if _, changed := c.log.members(); changed > c.log.commit || c.opened > c.log.commit {
--- a/internal/replicator/replicator.go
+++ b/internal/replicator/replicator.go
@@ -112,6 +112,8 @@
 	dirtyVote bool
 	install   *wire.Snapshot
 	expelled  bool
+	yielding  bool      // another member was asked to take over
+	yielded   time.Time // when it was asked
 }
 
 // New returns a follower that resumes from st.
@@ -174,7 +176,7 @@
 // entry is committed if an entry with the returned index and term comes out of
 // Ready.
 func (c *Core) Propose(data []byte) (index, term uint64, err error) {
-	if c.role != Leader {
+	if c.role != Leader || c.yielding {
 		return 0, 0, ErrNotLeader
 	}
 	if c.log.open > c.s.Backlog {
@@ -312,7 +314,7 @@
 		c.heard = c.quorumHeard()
 	}
 	c.role, c.leader = Follower, leader
-	c.granted, c.progress = nil, nil
+	c.granted, c.progress, c.yielding = nil, nil, false
 	c.incoming = nil
 	c.rearm()
 }
@@ -335,7 +337,7 @@
 		return
 	}
 	if m.GetTerm() > c.term {
-		if m.GetBallot() != nil && c.leaderAlive() {
+		if m.GetBallot() != nil && c.leaderAlive() && !m.GetBallot().GetYielded() {
 			// A member that was removed or cut off must not depose a leader that
 			// the others still hear.
 			return
@@ -367,6 +369,8 @@
 		c.stepConfirm(m.GetFrom(), body.Confirm)
 	case *wire.Peer_Confirmed:
 		c.stepConfirmed(body.Confirmed)
+	case *wire.Peer_Yield:
+		c.stepYield(m.GetFrom())
 	case *wire.Peer_Expel:
 		c.stepExpel(m.GetFrom(), body.Expel)
 	}
--- a/internal/replicator/replicator_test.go
+++ b/internal/replicator/replicator_test.go
@@ -392,3 +392,35 @@
 		}
 	}
 }
+
+// Guards against a leader that ends on purpose and leaves the others to wait for
+// their election timeout, or that takes commands which nobody will commit.
+func TestYieldingLeaderIsFollowedAtOnce(t *testing.T) {
+	c := newCluster(t, 3, 1)
+	l := c.elect()
+	c.proposeMany(l, 0, 3)
+	if !l.core.Yield() {
+		t.Fatal("nobody was asked to take over")
+	}
+	if got, want := c.propose(l, "x"), replicator.ErrNotLeader; !errors.Is(got, want) {
+		t.Errorf("propose after the yield: got %v, want %v", got, want)
+	}
+	for range 20 {
+		if len(c.net) > 0 {
+			c.deliver(0, false, none)
+		}
+	}
+	// No time has passed.
+	second := c.others(l)[0]
+	if second.core.Status().Role != replicator.Leader {
+		second = c.others(l)[1]
+	}
+	if got, want := second.core.Status().Role, replicator.Leader; got != want {
+		t.Fatalf("role: got %v, want %v", got, want)
+	}
+	l.core = nil
+	c.proposeMany(second, 3, 6)
+	if got, want := len(second.counts), 6; got != want {
+		t.Errorf("commands: got %d, want %d", got, want)
+	}
+}
--- a/internal/replicator/schedule_test.go
+++ b/internal/replicator/schedule_test.go
@@ -76,6 +76,7 @@
 			"heal":      func(*rapid.T) { s.heal() },
 			"compact":   s.drawCompact,
 			"change":    s.drawChange,
+			"yield":     s.drawYield,
 			"disk":      s.drawDisk,
 		})
 		s.finish()
@@ -188,6 +189,12 @@
 	s.pump(l, none)
 }
 
+func (s *schedule) drawYield(rt *rapid.T) {
+	h := s.host(rt, false)
+	h.core.Yield()
+	s.pump(h, none)
+}
+
 // drawDisk destroys the disk of one voter. It counts as down until it is
 // removed; a host with a new identity takes its place by drawChange.
 func (s *schedule) drawDisk(rt *rapid.T) {
@@ -222,6 +229,8 @@
 			s.start(h)
 		}
 	}
+	// A leader that yielded in vain refuses commands for an election timeout.
+	s.run(2 * election)
 	l := s.elect()
 	if err := s.propose(l, "last"); err != nil {
 		s.t.Fatalf("propose after the end: %v", err)
