Notice an older data directory after a change of the leader too

A run of the race detector on a loaded machine showed that a host restored from an older copy was not expelled: only the leader that had its acknowledgements compared them, and it had lost its office. Each host now names in its messages how many writes its directory holds, and a host that starts with fewer than any other member has seen is refused and stops. Peers keep this in memory, so a copy goes unnoticed only if all of them restart too. The test changes the leader before it restores the copy; five runs at once with the race detector pass.

--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -43,6 +43,7 @@
 	core  *replicator.Core
 	links *links
 	desk  *desk
+	marks *marks
 
 	listener *messenger.Listener
 	ctx      context.Context //nolint:containedctx // it is the lifetime of the process
@@ -95,7 +96,7 @@
 		ticks: make(chan time.Time, 1), looped: make(chan struct{}), started: make(chan struct{}), done: make(chan struct{}),
 		waiting: make(map[uint64]*waiter), reading: make(map[uint64]chan replicator.Read),
 		arrivals: make(map[uint64][]chan struct{}), updates: make(map[uint64]*wire.Update),
-		desk: newDesk(),
+		desk: newDesk(), marks: newMarks(),
 	}
 	st, err := rec.Load()
 	if err != nil {
@@ -130,7 +131,7 @@
 	c.mu.Lock()
 	c.listener = l
 	c.me.Addr = c.address(l.Addr())
-	c.links = newLinks(c.ctx, c.me, &c.work)
+	c.links = newLinks(c.ctx, c.me, c.rec.Mark(), &c.work)
 	c.mu.Unlock()
 	close(c.started)
 	c.work.Add(1)
--- a/internal/controller/disk_test.go
+++ b/internal/controller/disk_test.go
@@ -87,6 +87,9 @@
 	h = restart(t, h, false)
 	apply(t, l, change("2"))
 	until(func() bool { return h.Dump().Applied == l.Dump().Applied })
+	// Another leader does not know what the host acknowledged to this one.
+	l = restart(t, l, false)
+	apply(t, l, change("3"))
 	h.settings.Folder = older
 	h = restart(t, h, false)
 	<-h.Done()
--- a/internal/controller/links.go
+++ b/internal/controller/links.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"slices"
 	"sync"
 	"time"
@@ -30,6 +31,8 @@
 
 	mu       sync.Mutex
 	links    map[uint64]*link  // by member
+	start    uint64            // differs for each start of the process
+	mark     uint64            // of the data directory at the start
 	addr     string            // of this host, as the members know it
 	learned  map[uint64]string // addresses of hosts that have joined a stream here
 	sessions map[string]*messenger.Session
@@ -41,8 +44,9 @@
 	cancel context.CancelFunc
 }
 
-func newLinks(ctx context.Context, me *wire.Member, work *sync.WaitGroup) *links {
+func newLinks(ctx context.Context, me *wire.Member, mark uint64, work *sync.WaitGroup) *links {
 	l := &links{
+		start: rand.Uint64(), mark: mark, //nolint:gosec // no secret
 		ctx: ctx, me: me, work: work, addr: me.GetAddr(), links: make(map[uint64]*link),
 		learned: make(map[uint64]string), sessions: make(map[string]*messenger.Session),
 	}
@@ -149,7 +153,7 @@
 		return
 	}
 	l.mu.Lock()
-	join := &wire.Join{From: l.me.GetId(), Addr: l.addr}
+	join := &wire.Join{From: l.me.GetId(), Addr: l.addr, Start: l.start, Mark: l.mark}
 	l.mu.Unlock()
 	if s.Send(&wire.Request{Body: &wire.Request_Join{Join: join}}) != nil {
 		return
--- a/internal/controller/loop.go
+++ b/internal/controller/loop.go
@@ -6,7 +6,6 @@
 	"github.com/cockroachdb/errors"
 	"google.golang.org/protobuf/proto"
 
-	"github.com/damasklever/damasklever/internal/recorder"
 	"github.com/damasklever/damasklever/internal/replicator"
 	"github.com/damasklever/damasklever/internal/wire"
 )
@@ -26,7 +25,7 @@
 		case fn := <-c.events:
 			fn()
 		case m := <-c.inbox:
-			c.core.Step(c.s.Timer.Now(), m)
+			c.step(m)
 		case now := <-c.ticks:
 			c.core.Tick(now)
 		}
@@ -43,7 +42,7 @@
 		case fn := <-c.events:
 			fn()
 		case m := <-c.inbox:
-			c.core.Step(c.s.Timer.Now(), m)
+			c.step(m)
 		default:
 			return
 		}
@@ -99,7 +98,9 @@
 		if err := c.persist(&r); err != nil {
 			return err
 		}
+		mark := c.rec.Mark()
 		for _, m := range r.Messages {
+			m.Mark = mark
 			c.links.send(m)
 		}
 		for _, e := range r.Committed {
@@ -119,9 +120,7 @@
 
 func (c *Controller) persist(r *replicator.Ready) error {
 	if r.Expelled {
-		err := c.rec.Expel()
-
-		return errors.CombineErrors(recorder.ErrExpelled, err)
+		return c.expel()
 	}
 	if r.Vote != nil && r.Snapshot != nil {
 		// The vote first: a log must never be of a later term than the vote.
--- a/internal/controller/server.go
+++ b/internal/controller/server.go
@@ -42,7 +42,7 @@
 	case *wire.Request_Attach:
 		c.attach(ctx, s, body.Attach)
 	case *wire.Request_Join:
-		c.join(s, body.Join)
+		c.join(s, body.Join) //nolint:contextcheck // links live as long as the process
 	case *wire.Request_Command:
 		result := c.command(ctx, body.Command, r.GetForwarded())
 		_ = s.Send(&wire.Response{Body: &wire.Response_Result{Result: result}})
@@ -58,11 +58,21 @@
 // join passes the messages of another control host to the core.
 func (c *Controller) join(s *messenger.Stream, j *wire.Join) {
 	c.links.learn(j.GetFrom(), j.GetAddr())
+	if seen, ok := c.marks.join(j); !ok {
+		c.s.Log.Error().Str("id", memberName(j.GetFrom())).Uint64("mark", j.GetMark()).Uint64("seen", seen).
+			Msg("data directory of a member went back in time")
+		c.links.send(&wire.Peer{From: c.me.GetId(), To: j.GetFrom(), Body: &wire.Peer_Expel{
+			Expel: &wire.Expel{Mark: seen, Start: j.GetStart()},
+		}})
+
+		return
+	}
 	for {
 		m := &wire.Peer{}
 		if s.Recv(m) != nil {
 			return
 		}
+		c.marks.see(j, m.GetMark())
 		if !c.founded.Load() {
 			continue
 		}
--- a/internal/recorder/recorder.go
+++ b/internal/recorder/recorder.go
@@ -171,6 +171,10 @@
 // that time.
 func (r *Recorder) Identity() *wire.Member { return r.identity }
 
+// Mark counts the writes of votes and entries that the directory holds. It never
+// falls unless the directory is replaced by an older one.
+func (r *Recorder) Mark() uint64 { return r.frame + r.state.Vote.GetCount() }
+
 // Load returns what the directory held when it was opened or last written.
 func (r *Recorder) Load() (State, error) {
 	if r.broken != nil {
@@ -189,7 +193,10 @@
 		return r.broken
 	}
 	if vote != nil {
-		vote = &wire.Vote{Term: vote.GetTerm(), Vote: vote.GetVote(), Frame: r.frame}
+		vote = &wire.Vote{
+			Term: vote.GetTerm(), Vote: vote.GetVote(), Frame: r.frame,
+			Count: r.state.Vote.GetCount() + 1,
+		}
 		if err := r.writeFile(voteFile, vote); err != nil {
 			return errors.Newf("save vote: %w", err)
 		}
