--- a/internal/imitator/plain.go
+++ b/internal/imitator/plain.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -19,6 +20,9 @@
 	HeaderFault = "Imitate-Fault" // "lost" runs and drops the connection, "crash" restarts the service
 )
 
+// RunsPath shows the number of calls that ran; asking does not count.
+const RunsPath = "/imitate/runs"
+
 // Plain is a fake plain service. It answers with the request's body.
 type Plain struct {
 	restart time.Duration
@@ -125,6 +129,13 @@
 }
 
 func (p *Plain) serve(w http.ResponseWriter, r *http.Request) {
+	if r.URL.Path == RunsPath {
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		_, _ = fmt.Fprintf(w, "runs %d\n", p.total)
+
+		return
+	}
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBody))
 	if err != nil {
 		return
