Repeat a stalled transfer on the same decode server first

Cause: after a stall the request asked another decode server, which is full under overload; the prefill result was evicted after 0.8 s and the prefill wasted. Change: the first stall of a prefill result, found by the entry's limit or ended as 'stalled' by the agent, is repeated on the same decode server. After 50 ms without a grant, after a refusal or after a second stall another decode server is asked, then a second prefill runs. No path is tried after Limits.Keep (1 s). Asks for a further transfer are due at the deadline of the request. Ruled out: a second Import of the same attempt. The agent ignores it while the first runs and answers it with the stored end afterwards, and the engine refuses an id in use; an id without an Ask has no grant. So the repetition is a new attempt, asked for before the first is withdrawn, and a late Imported of the first is told from its successor by the id.

The property test starts half of its model requests at a stall; it fails if the import is repeated under the same id, and, like TestCallerGone, if the first attempt is not withdrawn.

--- a/internal/dispatcher/action.go
+++ b/internal/dispatcher/action.go
@@ -74,9 +74,10 @@
 // Wake asks for a Woken event at a time.
 type Wake struct{ At time.Time }
 
-// Retried reports, for logs and metrics, that work starts again elsewhere.
+// Retried reports, for logs and metrics, that work starts again,
+// elsewhere or, after a stalled transfer, at the same server.
 type Retried struct {
-	Server string // that failed
+	Server string // of the failed attempt
 	Phase  wire.Phase
 	Reason string
 }
--- a/internal/dispatcher/dispatcher_test.go
+++ b/internal/dispatcher/dispatcher_test.go
@@ -53,12 +53,16 @@
 	final   []dispatcher.Outcome
 	open    map[string]string // attempts that the agents still hold, by server
 	sent    map[string]int    // dispatches by kind
+	ended   map[string]bool   // withdrawn attempts
+	imports map[string]int    // by attempt
+	misuse  []dispatcher.Action
 }
 
 func newRig(r dispatcher.Request) *rig {
 	g := &rig{
 		fleet: newFleet(), now: time.Unix(1000, 0),
 		open: make(map[string]string), sent: make(map[string]int),
+		ended: make(map[string]bool), imports: make(map[string]int),
 	}
 	r.ID, r.Service = "r", "service"
 	g.machine = dispatcher.New(r, g.fleet)
@@ -88,24 +92,41 @@
 	}
 }
 
+// dispatched checks what no agent accepts: work for a withdrawn attempt, or a
+// second import of one attempt.
+func (g *rig) dispatched(kind, id string, a dispatcher.Action) {
+	g.sent[kind]++
+	if kind == "import" {
+		g.imports[id]++
+	}
+	if g.ended[id] || g.imports[id] > 1 && kind == "import" {
+		g.misuse = append(g.misuse, a)
+	}
+}
+
 func (g *rig) record(a dispatcher.Action) {
 	switch a := a.(type) {
 	case dispatcher.Ask:
 		g.open[a.ID] = a.Server
 	case dispatcher.Withdraw:
 		delete(g.open, a.ID)
+		g.ended[a.ID] = true
 	case dispatcher.Emit:
 		g.text += a.Text
 	case dispatcher.Finish:
 		g.final = append(g.final, a.Outcome)
 	case dispatcher.Prefill:
-		g.sent["prefill"]++
+		g.dispatched("prefill", a.ID, a)
+	case dispatcher.Import:
+		g.dispatched("import", a.ID, a)
 	case dispatcher.Run:
-		g.sent["run"]++
+		g.dispatched("run", a.ID, a)
 	case dispatcher.Decode:
+		kind := "decode"
 		if a.Resume {
-			g.sent["resume"]++
+			kind = "resume"
 		}
+		g.dispatched(kind, a.ID, a)
 	}
 }
 
@@ -144,6 +165,17 @@
 	return g
 }
 
+// stall lets the running transfer exceed its limit.
+func (g *rig) stall() { g.wait(dispatcher.DefaultLimits().Transfer) }
+
+// repeating takes a model request to the second import, r.5 at d1.
+func (g *rig) repeating() *rig {
+	g.importing().stall()
+	g.step(dispatcher.Granted{ID: "r.5"})
+
+	return g
+}
+
 func (g *rig) decoding() *rig {
 	g.importing().step(dispatcher.Imported{ID: "r.1"})
 
--- a/internal/dispatcher/machine.go
+++ b/internal/dispatcher/machine.go
@@ -51,7 +51,8 @@
 	prefill track
 	run     track
 	handle  Prefilled
-	paths   int // import paths tried for the current handle
+	paths   int       // transfers tried for the current handle
+	kept    time.Time // when the engine has evicted the current handle at the latest
 	stream  stream
 	claim   claim
 	over    bool
@@ -315,6 +316,12 @@
 
 		return
 	}
+	if m.repeatable(t) && e.Status == wire.Status_STATUS_FAILED && e.Reason == reasonStalled {
+		delete(m.open, e.ID)
+		m.repeat(reason)
+
+		return
+	}
 	if e.Status == wire.Status_STATUS_FAILED {
 		m.policy.Fail(m.now, t.cur.server)
 	}
@@ -393,12 +400,20 @@
 // late handles a step that took too long.
 func (m *Machine) late(t *track) {
 	switch {
+	case t.step == stepAsked && t.repeating:
+		// The memory went to another request: a second path is tried as well.
+		t.repeating = false
+		m.ask(t, m.prefill.server())
+	case t.step == stepAsked && m.transferring(t):
+		m.restart(t, "no grant before the prefill result was evicted", true)
 	case t.step == stepAsked:
 		m.giveUp(statusBusy, "no grant in time", max(t.after, minRetryAfter))
 	case t == &m.decode && t.step == stepReady:
 		m.resume("no chunk in time")
+	case m.repeatable(t):
+		m.repeat(reasonStalled)
 	case t == &m.decode:
-		m.failed(t, "the transfer stalled", false)
+		m.failed(t, reasonStalled, false)
 	default:
 		m.failed(t, "the server did not answer in time", false)
 	}
--- a/internal/dispatcher/model.go
+++ b/internal/dispatcher/model.go
@@ -62,7 +62,7 @@
 	m.prefill.step = stepReady
 	m.prefill.until = time.Time{}
 	m.handle = e
-	m.paths = 0
+	m.paths, m.kept = 0, m.now.Add(m.limits.Keep)
 	m.advance()
 }
 
@@ -87,7 +87,7 @@
 		t.reason = reason
 		m.drop(t)
 		m.advance()
-	case t == &m.decode && t.step == stepSent && m.paths < maxPaths:
+	case t == &m.decode && t.step == stepSent && m.paths < maxPaths && m.now.Before(m.kept):
 		// Another decode server imports over another path, as long as the
 		// prefill server keeps the KV cache. No work is repeated.
 		m.do(Retried{Server: t.server(), Phase: t.phase, Reason: reason})
@@ -99,8 +99,47 @@
 	}
 }
 
-// maxPaths is the number of import paths tried before a second prefill.
-const maxPaths = 2
+const (
+	// maxPaths is the number of transfers tried before a second prefill: the
+	// first, its repetition and one to another decode server.
+	maxPaths = 3
+	// repeatWait is how long only the server of a stalled transfer is asked. It
+	// covers a message to the agent, its cancellation on the engine and the
+	// reply, and is short against the life of a prefill result.
+	repeatWait = 50 * time.Millisecond
+	// reasonStalled is also the reason of an agent that ends a transfer without
+	// progress.
+	reasonStalled = "stalled"
+)
+
+// transferring reports whether a grant of the track is for one more transfer of
+// a prefill result.
+func (m *Machine) transferring(t *track) bool {
+	return t == &m.decode && m.paths > 0 && m.prefill.step == stepReady
+}
+
+// repeatable reports whether a stall of the track's transfer is the first of
+// the prefill result.
+func (m *Machine) repeatable(t *track) bool {
+	return t == &m.decode && t.step == stepSent && m.paths == 1
+}
+
+// repeat starts a stalled transfer again on the same decode server, which has
+// the memory for it even if every other server is full. The agent neither runs
+// two transfers of one attempt nor starts one again after it ended, so the
+// transfer needs a new attempt. Its Ask leaves before the Withdraw: an ask whose
+// prefill is done goes first within its rank, and gets the memory that the
+// withdrawn attempt frees.
+func (m *Machine) repeat(reason string) {
+	t := &m.decode
+	old := t.cur
+	m.do(Retried{Server: old.server, Phase: t.phase, Reason: reason})
+	t.cur, t.step, t.reason = nil, stepAsked, reason
+	t.repeating = true
+	t.until = m.now.Add(repeatWait)
+	m.askServer(t, old.server)
+	m.withdraw(old)
+}
 
 // restart runs a new prefill. It is allowed only before the first byte of the
 // answer, since a second answer may differ from the first. transfer says that
@@ -125,7 +164,7 @@
 	}
 	m.handle, m.paths = Prefilled{}, 0
 	m.drop(&m.prefill)
-	if m.decode.step >= stepSent {
+	if transfer || m.decode.step >= stepSent {
 		m.drop(&m.decode)
 	}
 	for _, t := range m.tracks() {
--- a/internal/dispatcher/model_test.go
+++ b/internal/dispatcher/model_test.go
@@ -33,6 +33,9 @@
 	if got != w {
 		t.Errorf("got %+v, want %+v", got, w)
 	}
+	if len(g.misuse) > 0 {
+		t.Errorf("got %+v, want no dispatch that an agent rejects", g.misuse)
+	}
 	if len(g.final) > 0 && len(g.open) > 0 {
 		t.Errorf("open attempts after the final answer: got %v, want none", g.open)
 	}
@@ -53,7 +56,8 @@
 
 func (g *rig) lose(id string) { g.step(dispatcher.Lost{ID: id, Reason: "connection reset"}) }
 
-// again answers the asks of a whole new try with the given ids.
+// again answers the asks of a whole new try with the given ids, up to its
+// import.
 func (g *rig) again(decode, prefill string) {
 	g.step(dispatcher.Granted{ID: decode}, dispatcher.Granted{ID: prefill},
 		dispatcher.Prefilled{ID: prefill, Handle: "h2"}, dispatcher.Imported{ID: decode})
@@ -155,29 +159,6 @@
 			g.again("r.5", "r.7")
 			g.end("r.5", wire.Status_STATUS_CRASHED, 0)
 		}, want{result: failed, status: 502, prefill: 2}},
-		"stalled transfer takes a second path": {func(g *rig) {
-			g.importing().wait(time.Second)
-			g.step(dispatcher.Granted{ID: "r.5"}, dispatcher.Imported{ID: "r.1"},
-				dispatcher.Imported{ID: "r.5"}, g.chunk("r.5", 0))
-			g.done("r.5", 1)
-		}, want{text: "a", result: done, status: 200, prefill: 1}},
-		"both paths stall": {func(g *rig) {
-			g.importing().wait(time.Second)
-			g.step(dispatcher.Granted{ID: "r.5"})
-			g.wait(time.Second)
-			g.again("r.7", "r.9")
-			g.step(g.chunk("r.7", 0))
-			g.done("r.7", 1)
-		}, want{text: "a", result: done, status: 200, prefill: 2}},
-		"no second path for a stalled transfer": {func(g *rig) {
-			g.fleet.servers[wire.Phase_PHASE_DECODE] = []string{"d1"}
-			g.step(dispatcher.Begin{}, dispatcher.Granted{ID: "r.1"}, dispatcher.Granted{ID: "r.2"},
-				dispatcher.Prefilled{ID: "r.2", Handle: "h"})
-			g.wait(time.Second)
-			g.again("r.4", "r.5")
-			g.step(g.chunk("r.4", 0))
-			g.done("r.4", 1)
-		}, want{text: "a", result: done, status: 200, prefill: 2}},
 		"KV cache evicted before the import": {func(g *rig) {
 			g.importing().end("r.1", wire.Status_STATUS_EVICTED, 0)
 			g.again("r.5", "r.7")
@@ -246,6 +227,8 @@
 		}, dispatcher.NotRun},
 		"prefill":  {model(), func(g *rig) { g.prefilling() }, dispatcher.MayHaveRun},
 		"transfer": {model(), func(g *rig) { g.importing() }, dispatcher.MayHaveRun},
+		"stalled":  {model(), func(g *rig) { g.importing().stall() }, dispatcher.MayHaveRun},
+		"repeat":   {model(), func(g *rig) { g.repeating() }, dispatcher.MayHaveRun},
 		"decode":   {model(), func(g *rig) { g.decoding() }, dispatcher.MayHaveRun},
 		"resume":   {model(), func(g *rig) { g.decoding().lose("r.1") }, dispatcher.MayHaveRun},
 		"retry":    {model(), func(g *rig) { g.prefilling().lose("r.3") }, dispatcher.MayHaveRun},
@@ -258,8 +241,9 @@
 			g := newRig(test.request)
 			test.before(g)
 			g.step(dispatcher.Gone{})
-			dispatched := len(g.sent)
-			g.step(dispatcher.Granted{ID: "r.1"}, dispatcher.Granted{ID: "r.2"},
+			dispatched := maps.Clone(g.sent)
+			g.step(dispatcher.Granted{ID: "r.1"}, dispatcher.Granted{ID: "r.2"}, dispatcher.Granted{ID: "r.5"},
+				dispatcher.Imported{ID: "r.1"}, dispatcher.Imported{ID: "r.5"},
 				dispatcher.Claimed{OK: true, Fresh: true}, g.chunk("r.1", 0))
 			if got, want := len(g.final), 1; got != want {
 				t.Fatalf("final answers: got %d, want %d", got, want)
@@ -267,7 +251,7 @@
 			if got, want := g.final[0].Result, test.want; got != want || !g.final[0].Gone {
 				t.Errorf("outcome: got %+v, want %v and gone", g.final[0], want)
 			}
-			if len(g.open) > 0 || g.text != "" || len(g.sent) > dispatched {
+			if len(g.open) > 0 || g.text != "" || !maps.Equal(g.sent, dispatched) {
 				t.Errorf("after the disconnection: got open %v, text %q, sent %v, want none", g.open, g.text, g.sent)
 			}
 		})
@@ -300,23 +284,6 @@
 	g.closed("r.5").check(t, want{result: dispatcher.MayHaveRun, status: 502, prefill: 1})
 }
 
-// Guards against a second prefill at the server whose transfers stalled, and
-// against decode servers that are held responsible for it.
-func TestStalledSource(t *testing.T) {
-	g := newRig(model())
-	g.fleet.servers[wire.Phase_PHASE_DECODE] = []string{"d1", "d2"}
-	g.importing().wait(time.Second)
-	g.step(dispatcher.Granted{ID: "r.5"})
-	g.wait(time.Second)
-	g.step(dispatcher.Granted{ID: "r.6"})
-	if got, want := find[dispatcher.Ask](g).Server, "p3"; got != want {
-		t.Errorf("second prefill: got %s asked last, want %s and not p1", got, want)
-	}
-	if got := find[dispatcher.Finish](g); got.Outcome.Result != 0 {
-		t.Errorf("got %+v, want the request to go on", got)
-	}
-}
-
 // Guards against a final answer without the time to retry, and against one that
 // invites a request to crash a third server.
 func TestRetryAfter(t *testing.T) {
--- a/internal/dispatcher/property_test.go
+++ b/internal/dispatcher/property_test.go
@@ -21,6 +21,7 @@
 		wire.Status_STATUS_DONE, wire.Status_STATUS_FAILED, wire.Status_STATUS_CRASHED,
 		wire.Status_STATUS_REVOKED, wire.Status_STATUS_EVICTED, wire.Status_STATUS_CANCELLED,
 	}).Draw(t, "status")
+	reason := rapid.SampledFrom([]string{"", "stalled"}).Draw(t, "reason")
 	switch rapid.IntRange(0, 14).Draw(t, "event") {
 	case 0, 1, 2:
 		return dispatcher.Granted{ID: id}
@@ -33,7 +34,7 @@
 	case 6, 7, 8:
 		return g.chunk(id, rapid.Int64Range(0, int64(len(truth))-1).Draw(t, "seq"))
 	case 9:
-		return dispatcher.Ended{ID: id, Status: status, Chunks: int64(len(truth))}
+		return dispatcher.Ended{ID: id, Status: status, Chunks: int64(len(truth)), Reason: reason}
 	case 10:
 		return dispatcher.Answered{ID: id, Status: 200}
 	case 11:
@@ -67,14 +68,18 @@
 
 // Guards against an order of events, late, repeated or missing, in which a
 // request gets two final answers, a wrong text, a grant that is never
-// withdrawn, a second dispatch of a booking, or "not run" for a booking that
-// may have run.
+// withdrawn, a second dispatch of a booking, "not run" for a booking that may
+// have run, a second import of one attempt, or work for a withdrawn one.
 func TestRandomEvents(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		request := rapid.SampledFrom([]dispatcher.Request{model(), booking(), lookup()}).Draw(t, "request")
 		g := newRig(request)
 		g.fleet.budget = rapid.IntRange(0, 3).Draw(t, "budget")
-		g.step(dispatcher.Begin{})
+		if request.Kind == wire.Kind_KIND_MODEL && rapid.Bool().Draw(t, "stalled") {
+			g.importing().stall()
+		} else {
+			g.step(dispatcher.Begin{})
+		}
 		confirmed := make(map[string]bool)
 		for range rapid.IntRange(0, 80).Draw(t, "events") {
 			e := randomEvent(t, g)
@@ -103,6 +108,9 @@
 		if len(g.open) > 0 || !g.machine.Over() {
 			t.Fatalf("at the end: got open %v, over %v, want none and true", g.open, g.machine.Over())
 		}
+		if len(g.misuse) > 0 {
+			t.Fatalf("got %+v, want no dispatch that an agent rejects", g.misuse)
+		}
 		if request.Key != "" && g.sent["run"] > 1 {
 			t.Fatalf("dispatches of a booking: got %d, want at most 1", g.sent["run"])
 		}
--- a/internal/dispatcher/request.go
+++ b/internal/dispatcher/request.go
@@ -51,6 +51,7 @@
 	Claim    time.Duration // wait for the replicated log
 	Prefill  time.Duration // from dispatch to Prefilled
 	Transfer time.Duration // a longer transfer counts as stalled
+	Keep     time.Duration // a prefill result is evicted this long after Prefilled at the latest
 	Gap      time.Duration // a longer pause between chunks counts as a lost stream
 	Linger   time.Duration // wait for the end of a claimed call after its final answer
 	Asks     int           // candidates asked at once
@@ -59,13 +60,12 @@
 }
 
 // DefaultLimits returns the limits of a request that sets none. Transfer is
-// below the second after which a prefill result is evicted, so that a second
-// path can still be tried.
+// below half of Keep, so that a stalled transfer can be repeated.
 func DefaultLimits() Limits {
 	return Limits{
 		Total: 2 * time.Minute, Claim: 3 * time.Second, Prefill: 20 * time.Second,
-		Transfer: 400 * time.Millisecond, Gap: 2 * time.Second, Linger: 4 * time.Second,
-		Asks: 2, Rounds: 3, Resumes: 2,
+		Transfer: 400 * time.Millisecond, Keep: time.Second, Gap: 2 * time.Second,
+		Linger: 4 * time.Second, Asks: 2, Rounds: 3, Resumes: 2,
 	}
 }
 
@@ -75,6 +75,7 @@
 	fill(&l.Claim, d.Claim)
 	fill(&l.Prefill, d.Prefill)
 	fill(&l.Transfer, d.Transfer)
+	fill(&l.Keep, d.Keep)
 	fill(&l.Gap, d.Gap)
 	fill(&l.Linger, d.Linger)
 	fill(&l.Asks, d.Asks)
--- a/internal/dispatcher/track.go
+++ b/internal/dispatcher/track.go
@@ -44,6 +44,8 @@
 	after  time.Duration // shortest time to retry that an agent named
 	reason string        // of the last refusal
 	until  time.Time     // when the step is overdue; zero: never
+	// repeating says that only the server of the stalled transfer is asked.
+	repeating bool
 }
 
 // take removes the ask with this id.
@@ -82,6 +84,7 @@
 		return
 	}
 	t.rounds++
+	t.repeating = false
 	servers := m.policy.Pick(m.now, m.req, Choice{
 		Phase: t.phase, Near: near, Avoid: t.tried, Crashes: m.crashes, Count: m.limits.Asks,
 	})
@@ -92,16 +95,24 @@
 	}
 	t.step = stepAsked
 	t.until = m.due()
+	if m.transferring(t) && m.kept.Before(t.until) {
+		t.until = m.kept
+	}
 	for _, server := range servers {
-		m.count++
-		a := &attempt{id: m.req.ID + "." + strconv.Itoa(m.count), server: server}
-		t.asks = append(t.asks, a)
 		t.tried = append(t.tried, server)
-		m.open[a.id] = a
-		m.do(m.askFor(t, a))
+		m.askServer(t, server)
 	}
 }
 
+// askServer requests a grant for a new attempt.
+func (m *Machine) askServer(t *track, server string) {
+	m.count++
+	a := &attempt{id: m.req.ID + "." + strconv.Itoa(m.count), server: server}
+	t.asks = append(t.asks, a)
+	m.open[a.id] = a
+	m.do(m.askFor(t, a))
+}
+
 func (m *Machine) askFor(t *track, a *attempt) Ask {
 	ask := Ask{ID: a.id, Server: a.server, Phase: t.phase, Due: m.due(), Cost: m.req.Stream, Alone: m.crashes > 0}
 	switch t.phase {
@@ -126,6 +137,7 @@
 	a.granted = true
 	t.cur = a
 	t.step = stepGranted
+	t.repeating = false
 	t.until = time.Time{}
 	for _, other := range t.asks {
 		m.withdraw(other)
@@ -136,9 +148,10 @@
 }
 
 // due returns the time after which a grant is useless. A retry after a failed
-// dispatch is late for its target already, so only the deadline counts.
+// dispatch or transfer is late for its target already, so only the deadline
+// counts.
 func (m *Machine) due() time.Time {
-	if m.retries > 0 {
+	if m.retries > 0 || m.paths > 0 {
 		return m.end
 	}
 
@@ -155,6 +168,7 @@
 	}
 	t.cur, t.asks = nil, nil
 	t.step = stepIdle
+	t.repeating = false
 	t.until = time.Time{}
 }
 
@@ -169,7 +183,7 @@
 
 // refuse ends a request that found no grant.
 func (m *Machine) refuse(t *track) {
-	if t == &m.decode && m.paths > 0 && m.prefill.step == stepReady {
+	if m.transferring(t) {
 		// There is no second path, so a second prefill is what remains.
 		m.restart(t, t.reason, true)
 
--- a/internal/evaluator/target_test.go
+++ b/internal/evaluator/target_test.go
@@ -22,7 +22,7 @@
 	)
 	chosen := map[string]bool{
 		"1.0": true, "2.0": true, "flood low": true, "flood low +kill": true, "flood low +late": true,
-		"flood urgent": true, "flood urgent +kill": true, "careless": true,
+		"flood low +stall": true, "flood urgent": true, "flood urgent +kill": true, "flood urgent +stall": true, "careless": true,
 	}
 	var list []scenario
 	for _, sc := range scenarios() {
