Tell all members how many writes a data directory holds

A follower wrote to nobody but its leader, so the mark that shows an older data directory was lost with that leader. It is now sent to all members at the next tick after it changed.

--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -76,6 +76,7 @@
 	updates   map[uint64]*wire.Update    // by the index asked for, since the last change
 	members   *wire.Members
 	counting  bool                  // a census is running
+	announced uint64                // mark that the other members were told
 	missing   map[entryID]time.Time // entry processes with claims that are not attached, since when
 }
 
--- a/internal/controller/loop.go
+++ b/internal/controller/loop.go
@@ -28,6 +28,7 @@
 			c.step(m)
 		case now := <-c.ticks:
 			c.core.Tick(now)
+			c.announce()
 		}
 		c.drain()
 		if err := c.process(); err != nil {
--- a/internal/controller/marks.go
+++ b/internal/controller/marks.go
@@ -1,6 +1,7 @@
 package controller
 
 import (
+	"slices"
 	"sync"
 
 	"github.com/damasklever/damasklever/internal/recorder"
@@ -49,6 +50,21 @@
 	}
 }
 
+// announce tells all members the mark when it has changed. A follower writes to
+// nobody but its leader, which may end.
+func (c *Controller) announce() {
+	mark := c.rec.Mark()
+	if mark == c.announced {
+		return
+	}
+	c.announced = mark
+	for _, m := range slices.Concat(c.members.GetVoters(), c.members.GetLearners()) {
+		if m.GetId() != c.me.GetId() {
+			c.links.send(&wire.Peer{From: c.me.GetId(), To: m.GetId(), Mark: mark})
+		}
+	}
+}
+
 // step runs in the event loop.
 func (c *Controller) step(m *wire.Peer) {
 	if e := m.GetExpel(); e.GetMark() > 0 {
