Continue an answer by a second run when its server is lost

Ruled out: a prompt extended by the text so far, which needs the chat template of the model; joining two runs unseen, which could join two different answers. Conclusion: an accepted answer survives the loss of its decode server.

--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -62,7 +62,7 @@
 	err      error
 
 	// The event loop owns what follows, together with core and state.
-	announced announced
+	reported  reported
 	applied   uint64
 	clock     int64 // Unix milliseconds of the last command
 	waiting   map[uint64]*waiter
@@ -236,11 +236,16 @@
 func (c *Controller) yield() {
 	ctx, cancel := c.within(c.ctx, c.s.Election)
 	defer cancel()
-	leads := false
-	c.do(func() { leads = c.core.Yield() })
-	for leads && c.pause(ctx, yieldInterval) {
-		leads = false
-		c.do(func() { leads = c.core.Status().Role == replicator.Leader })
+	waits := false
+	c.do(func() { waits = c.core.Yield() })
+	for waits && c.pause(ctx, yieldInterval) {
+		waits = false
+		c.do(func() {
+			// This host steps down for the candidate's ballot already, before the
+			// candidate has won.
+			st := c.core.Status()
+			waits = st.Role == replicator.Leader || st.Leader == 0
+		})
 	}
 }
 
--- a/internal/controller/loop.go
+++ b/internal/controller/loop.go
@@ -34,7 +34,7 @@
 		if err := c.process(); err != nil {
 			return err
 		}
-		c.announce()
+		c.report()
 	}
 }
 
--- a/internal/dispatcher/dump.go
+++ b/internal/dispatcher/dump.go
@@ -15,7 +15,7 @@
 
 // Status returns the present state.
 func (m *Machine) Status() Status {
-	s := Status{Phase: m.phase(), Waits: m.waitsFor(), Chunks: m.stream.next, Open: len(m.open)}
+	s := Status{Phase: m.phase(), Waits: m.waitsFor(), Chunks: m.stream.emitted(), Open: len(m.open)}
 	for _, t := range m.tracks() {
 		if t.step != stepOver && t.server() != "" {
 			s.Server = t.server()
--- a/internal/dispatcher/request.go
+++ b/internal/dispatcher/request.go
@@ -54,6 +54,7 @@
 	Keep     time.Duration // a prefill result is evicted this long after Prefilled at the latest
 	Gap      time.Duration // a longer pause between chunks counts as a lost stream
 	Linger   time.Duration // wait for the end of a claimed call after its final answer
+	Patience time.Duration // wait for a server to continue an answer that the caller has in part
 	Asks     int           // candidates asked at once
 	Rounds   int           // times that candidates are asked for one phase
 	Resumes  int           // resumptions without a new chunk
@@ -65,7 +66,7 @@
 	return Limits{
 		Total: 2 * time.Minute, Claim: 3 * time.Second, Prefill: 20 * time.Second,
 		Transfer: 400 * time.Millisecond, Keep: time.Second, Gap: 2 * time.Second,
-		Linger: 4 * time.Second, Asks: 2, Rounds: 3, Resumes: 2,
+		Linger: 4 * time.Second, Patience: 3 * time.Second, Asks: 2, Rounds: 3, Resumes: 2,
 	}
 }
 
@@ -78,6 +79,7 @@
 	fill(&l.Keep, d.Keep)
 	fill(&l.Gap, d.Gap)
 	fill(&l.Linger, d.Linger)
+	fill(&l.Patience, d.Patience)
 	fill(&l.Asks, d.Asks)
 	fill(&l.Rounds, d.Rounds)
 	fill(&l.Resumes, d.Resumes)
--- a/internal/dispatcher/track.go
+++ b/internal/dispatcher/track.go
@@ -22,6 +22,7 @@
 
 const (
 	stepIdle    step = iota // nothing asked
+	stepPaused              // no server takes it, asks again soon
 	stepAsked               // waiting for a grant
 	stepGranted             // grant held, nothing dispatched
 	stepSent                // prefill, import or call dispatched
@@ -189,6 +190,9 @@
 
 		return
 	}
+	if m.pause(t) {
+		return
+	}
 	status, reason := statusUnavailable, "no server can take the request"
 	if t.reason != "" {
 		reason += ": " + t.reason
@@ -211,3 +215,31 @@
 		t.tried = append(t.tried, a.server)
 	}
 }
+
+// askPause is the time between two tries to find a server for an answer that
+// the caller has in part. It is as long as an agent that is down is left alone.
+const askPause = 250 * time.Millisecond
+
+// pause waits for a server instead of ending a request whose caller has a part
+// of the answer already. A request without a byte is refused at once, since its
+// caller loses nothing by coming back.
+func (m *Machine) pause(t *track) bool {
+	if m.stream.emitted() == 0 {
+		return false
+	}
+	if m.patience.IsZero() {
+		m.patience = m.now.Add(m.limits.Patience)
+	}
+	if !m.now.Before(m.patience) {
+		return false
+	}
+	t.step, t.until = stepPaused, m.now.Add(askPause)
+
+	return true
+}
+
+// unpause asks again. A server that failed may be back by now.
+func (m *Machine) unpause(t *track) {
+	t.step, t.rounds, t.tried = stepIdle, 0, nil
+	m.advance()
+}
