Use standard names where figurative ones had crept in

Cause: read as a newcomer, 'desk', 'seat', 'bell', 'pen', 'tour' and 'stray' needed explaining. Ruled out: comments that explain them. The words are now attachment, notify, deferred ask, rotation and orphan. Conclusion: names say what the parts are.

--- a/internal/attendant/crash_test.go
+++ b/internal/attendant/crash_test.go
@@ -45,7 +45,7 @@
 	innocent.ask("i2", wire.Phase_PHASE_PREFILL, digest("innocent"))
 	other := h.open()
 	other.ask("o1", wire.Phase_PHASE_PREFILL, digest("other"))
-	for len(h.agent.Dump().Penned) < 2 {
+	for len(h.agent.Dump().Deferred) < 2 {
 		pauseBriefly()
 	}
 	poison.prefill("p2", "[crash]", 100)
--- a/internal/attendant/pen.go
+++ b/internal/attendant/deferral.go
@@ -7,9 +7,9 @@
 	"github.com/damasklever/damasklever/internal/wire"
 )
 
-// penned is an ask that waits because a suspect has the server alone, or that
+// deferredAsk is an ask that waits because a suspect has the server alone, or that
 // is a suspect itself.
-type penned struct {
+type deferredAsk struct {
 	ask     *wire.Ask
 	link    link
 	suspect bool
@@ -22,12 +22,12 @@
 // soon, and otherwise as the only suspect beside others: a second crash then
 // names it and not its neighbours.
 func (k *keeper) enter(now time.Time, l link, ask *wire.Ask) {
-	k.pen = append(k.pen, &penned{
+	k.deferred = append(k.deferred, &deferredAsk{
 		ask: ask, link: l, alone: now.Add(k.s.isolate),
 		due:     now.Add(time.Duration(ask.GetDue()) * time.Millisecond),
 		suspect: ask.GetAlone() || k.blamer.Suspect(now, ask.GetDigest()),
 	})
-	k.admitPen(now)
+	k.admitDeferred(now)
 }
 
 // idle reports whether no attempt waits for or has a part of the server.
@@ -52,16 +52,16 @@
 	return false
 }
 
-// admitPen submits what no longer has to wait.
-func (k *keeper) admitPen(now time.Time) {
-	waiting := k.pen
-	k.pen = nil
+// admitDeferred submits what no longer has to wait.
+func (k *keeper) admitDeferred(now time.Time) {
+	waiting := k.deferred
+	k.deferred = nil
 	for _, p := range waiting {
 		switch {
 		case now.After(p.due):
-			k.refusePenned(now, p)
+			k.refuseDeferred(now, p)
 		case k.solo != "":
-			k.pen = append(k.pen, p)
+			k.deferred = append(k.deferred, p)
 		case !p.suspect:
 			k.submit(now, p.link, p.ask, p.due, false)
 		case k.idle():
@@ -70,21 +70,21 @@
 		case !now.Before(p.alone) && !k.suspectActive():
 			k.submit(now, p.link, p.ask, p.due, true)
 		default:
-			k.pen = append(k.pen, p)
+			k.deferred = append(k.deferred, p)
 		}
 	}
 }
 
-func (k *keeper) refusePenned(now time.Time, p *penned) {
+func (k *keeper) refuseDeferred(now time.Time, p *deferredAsk) {
 	k.refuse(p.link, p.ask.GetId(), reasonBusy, retryBusy)
 	k.remember(now, p.ask.GetId(), false)
 	k.observe.Refused(p.ask.GetRank(), reasonBusy)
 }
 
-// penned returns the waiting ask of an id, or nil. A repeated ask must not wait
+// findDeferred returns the waiting ask of an id, or nil. A repeated ask must not wait
 // twice, or its attempt would run twice.
-func (k *keeper) penned(id string) *penned {
-	for _, p := range k.pen {
+func (k *keeper) findDeferred(id string) *deferredAsk {
+	for _, p := range k.deferred {
 		if p.ask.GetId() == id {
 			return p
 		}
@@ -94,5 +94,5 @@
 }
 
 func (k *keeper) unpen(id string) {
-	k.pen = slices.DeleteFunc(k.pen, func(p *penned) bool { return p.ask.GetId() == id })
+	k.deferred = slices.DeleteFunc(k.deferred, func(p *deferredAsk) bool { return p.ask.GetId() == id })
 }
--- a/internal/attendant/dispatch.go
+++ b/internal/attendant/dispatch.go
@@ -135,7 +135,7 @@
 			a.withdrawer = nil
 		}
 	}
-	for _, p := range k.pen {
+	for _, p := range k.deferred {
 		if p.link == l {
 			p.link = nil
 		}
--- a/internal/attendant/dump.go
+++ b/internal/attendant/dump.go
@@ -17,7 +17,7 @@
 	Token    uint64            `json:"token"`
 	Fenced   bool              `json:"fenced"` // the token was read from control
 	Grants   []Grant           `json:"grants"`
-	Penned   []string          `json:"penned,omitempty"`
+	Deferred []string          `json:"deferred,omitempty"`
 	Suspects []string          `json:"suspects,omitempty"`
 	Leases   map[string]int64  `json:"leases"` // milliseconds since the last sign of life
 	Orders   map[string]string `json:"orders,omitempty"`
@@ -68,10 +68,10 @@
 	for _, id := range k.sorted() {
 		d.Grants = append(d.Grants, describe(now, k.attempts[id]))
 	}
-	for _, p := range k.pen {
-		d.Penned = append(d.Penned, p.ask.GetId())
+	for _, p := range k.deferred {
+		d.Deferred = append(d.Deferred, p.ask.GetId())
 	}
-	slices.Sort(d.Penned)
+	slices.Sort(d.Deferred)
 	for entry, seen := range k.leases {
 		d.Leases[entry] = now.Sub(seen).Milliseconds()
 	}
--- a/internal/attendant/finish.go
+++ b/internal/attendant/finish.go
@@ -95,7 +95,7 @@
 		}
 		k.forgetRefused(now, a, reason, retryDown)
 		k.decide(now, k.queue.Withdraw(now, a.id))
-		k.admitPen(now)
+		k.admitDeferred(now)
 
 		return
 	}
@@ -157,7 +157,7 @@
 		k.solo = ""
 	}
 	k.decide(now, k.queue.Release(now, a.id))
-	k.admitPen(now)
+	k.admitDeferred(now)
 }
 
 // gone forgets an attempt that nobody will ask for again, except by a late
@@ -165,7 +165,7 @@
 func (k *keeper) gone(now time.Time, a *attempt) {
 	k.forget(now, a)
 	k.decide(now, k.queue.Withdraw(now, a.id))
-	k.admitPen(now)
+	k.admitDeferred(now)
 }
 
 // Cancelled says that the backend server holds nothing of the attempt any more.
--- a/internal/attendant/keeper.go
+++ b/internal/attendant/keeper.go
@@ -115,7 +115,7 @@
 	up       bool
 	leaving  string // reason, empty while the agent stays
 	solo     string // attempt that runs alone
-	pen      []*penned
+	deferred []*deferredAsk
 	out      []action
 	observe  observer
 }
@@ -156,7 +156,7 @@
 
 		return k.take()
 	}
-	if p := k.penned(id); p != nil {
+	if p := k.findDeferred(id); p != nil {
 		p.link = l
 
 		return k.take()
--- a/internal/attendant/keeper_test.go
+++ b/internal/attendant/keeper_test.go
@@ -265,9 +265,9 @@
 			ids = append(ids, id)
 		}
 	}
-	stray, actions := w.keeper.Sweep(w.now, w.now, ids)
-	if len(stray) > 0 {
-		w.t.Fatalf("got stray work %v, want none: the engine is faultless", stray)
+	orphans, actions := w.keeper.Sweep(w.now, w.now, ids)
+	if len(orphans) > 0 {
+		w.t.Fatalf("got orphans work %v, want none: the engine is faultless", orphans)
 	}
 	w.do(actions)
 }
--- a/internal/attendant/lifecycle.go
+++ b/internal/attendant/lifecycle.go
@@ -48,7 +48,7 @@
 		}
 	}
 	k.decide(now, k.queue.Tick(now))
-	k.admitPen(now)
+	k.admitDeferred(now)
 
 	return k.take()
 }
@@ -56,7 +56,7 @@
 // expire ends every attempt of a lease.
 func (k *keeper) expire(now time.Time, entry, reason string) {
 	delete(k.leases, entry)
-	k.pen = slices.DeleteFunc(k.pen, func(p *penned) bool {
+	k.deferred = slices.DeleteFunc(k.deferred, func(p *deferredAsk) bool {
 		return leaseName(p.ask.GetEntry(), p.ask.GetEpoch()) == entry
 	})
 	k.dropUnsent(now, reason, 0, func(a *attempt) bool { return a.entry == entry })
@@ -97,11 +97,11 @@
 	if digests := k.blamer.Crash(now); len(digests) > 0 {
 		k.do(action{kind: actBlame, digests: digests})
 	}
-	for _, p := range k.pen {
+	for _, p := range k.deferred {
 		k.refuse(p.link, p.ask.GetId(), reasonCrashed, retryDown)
 		k.remember(now, p.ask.GetId(), false)
 	}
-	k.pen = nil
+	k.deferred = nil
 	k.dropUnsent(now, reasonCrashed, retryDown, func(*attempt) bool { return true })
 	for _, id := range k.sorted() {
 		if a := k.attempts[id]; a != nil {
@@ -141,11 +141,11 @@
 	}
 	k.leaving = reason
 	text := reasonLeaving + ": " + reason
-	for _, p := range k.pen {
+	for _, p := range k.deferred {
 		k.refuse(p.link, p.ask.GetId(), text, 0)
 		k.remember(now, p.ask.GetId(), false)
 	}
-	k.pen = nil
+	k.deferred = nil
 	k.dropUnsent(now, text, 0, func(a *attempt) bool { return a.stage == stageQueued })
 
 	return k.take()
@@ -170,11 +170,11 @@
 // attempts. It returns the ids that the engine should not hold, and releases
 // prefill results that the engine has evicted or handed over.
 func (k *keeper) Sweep(now, asked time.Time, held []string) ([]string, []action) {
-	var stray []string
+	var orphans []string
 	for _, id := range held {
 		a := k.attempts[id]
 		if a == nil || a.stage == stageOver || !a.sent {
-			stray = append(stray, id)
+			orphans = append(orphans, id)
 		}
 	}
 	for _, id := range k.sorted() {
@@ -188,5 +188,5 @@
 		k.release(now, a)
 	}
 
-	return stray, k.take()
+	return orphans, k.take()
 }
--- a/internal/attendant/sweep_test.go
+++ b/internal/attendant/sweep_test.go
@@ -18,11 +18,11 @@
 
 // Guards against memory held by work that no attempt stands for, such as a call
 // that reached the engine after its cancellation.
-func TestStrayWork(t *testing.T) {
+func TestOrphanedWork(t *testing.T) {
 	h := newSite(t, fast("prefill"))
-	stray := driver.New(h.engine.Addr(), time.Second)
-	defer stray.Close()
-	if _, err := stray.Prefill(t.Context(), driver.Prefill{ID: "stray", Tokens: 10, Pieces: 3}); err != nil {
+	orphans := driver.New(h.engine.Addr(), time.Second)
+	defer orphans.Close()
+	if _, err := orphans.Prefill(t.Context(), driver.Prefill{ID: "orphans", Tokens: 10, Pieces: 3}); err != nil {
 		t.Fatal(err)
 	}
 	h.clock.Advance(time.Second)
--- a/internal/attendant/watcher.go
+++ b/internal/attendant/watcher.go
@@ -236,11 +236,11 @@
 		ids = append(ids, w.ID)
 	}
 	a.mu.Lock()
-	stray, actions := a.keeper.Sweep(a.deps.Timer.Now(), asked, ids)
+	orphans, actions := a.keeper.Sweep(a.deps.Timer.Now(), asked, ids)
 	a.perform(actions)
 	a.mu.Unlock()
-	for _, id := range stray {
-		a.deps.Log.Warn().Str("server", a.settings.Name).Str("id", id).Msg("stray")
+	for _, id := range orphans {
+		a.deps.Log.Warn().Str("server", a.settings.Name).Str("id", id).Msg("orphaned work")
 		_ = a.backend.Cancel(ctx, id) // repeated by the next sweep
 	}
 	if load, err := a.backend.Load(ctx); err == nil {
--- a/internal/attendant/withdraw.go
+++ b/internal/attendant/withdraw.go
@@ -27,7 +27,7 @@
 		ran := k.mayHaveRun(now, w)
 		k.remember(now, id, ran)
 		sendWithdrawn(l, id, ran)
-		k.admitPen(now)
+		k.admitDeferred(now)
 
 		return k.take()
 	}
--- a/internal/controller/desk.go
+++ b/internal/controller/attachments.go
@@ -6,43 +6,43 @@
 	"github.com/damasklever/damasklever/internal/wire"
 )
 
-// desk holds the processes attached to this host.
-type desk struct {
-	mu    sync.Mutex
-	seats map[*seat]struct{}
-	bell  chan struct{} // closed when there is something new
+// attachments holds the processes attached to this host.
+type attachments struct {
+	mu     sync.Mutex
+	all    map[*attachment]struct{}
+	notify chan struct{} // closed when there is something new
 }
 
-// seat is one attached process.
-type seat struct {
+// attachment is one attached process.
+type attachment struct {
 	attach  *wire.Attach
 	index   uint64 // highest index the process reported
 	leaving bool
 	flights []*wire.Flight
 }
 
-func newDesk() *desk {
-	return &desk{seats: make(map[*seat]struct{}), bell: make(chan struct{})}
+func newAttachments() *attachments {
+	return &attachments{all: make(map[*attachment]struct{}), notify: make(chan struct{})}
 }
 
-func (d *desk) add(a *wire.Attach) *seat {
-	s := &seat{attach: a, index: a.GetIndex()}
+func (d *attachments) add(a *wire.Attach) *attachment {
+	s := &attachment{attach: a, index: a.GetIndex()}
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.seats[s] = struct{}{}
+	d.all[s] = struct{}{}
 
 	return s
 }
 
-func (d *desk) remove(s *seat) (leaving bool) {
+func (d *attachments) remove(s *attachment) (leaving bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	delete(d.seats, s)
+	delete(d.all, s)
 
 	return s.leaving
 }
 
-func (d *desk) beat(s *seat, b *wire.Beat) {
+func (d *attachments) beat(s *attachment, b *wire.Beat) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	s.index = max(s.index, b.GetIndex())
@@ -51,31 +51,31 @@
 }
 
 // wake closes the channel that changed returned.
-func (d *desk) wake() {
+func (d *attachments) wake() {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	close(d.bell)
-	d.bell = make(chan struct{})
+	close(d.notify)
+	d.notify = make(chan struct{})
 }
 
-func (d *desk) changed() <-chan struct{} {
+func (d *attachments) changed() <-chan struct{} {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 
-	return d.bell
+	return d.notify
 }
 
 // count answers a census of this host. A process that attached again before its
 // old stream ended counts once.
-func (d *desk) count(q *wire.Census, host uint64) *wire.Count {
+func (d *attachments) count(q *wire.Census, host uint64) *wire.Count {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	type key struct {
 		name  string
 		epoch uint64
 	}
-	latest := make(map[key]*seat)
-	for s := range d.seats {
+	latest := make(map[key]*attachment)
+	for s := range d.all {
 		k := key{s.attach.GetName(), s.attach.GetEpoch()}
 		if old := latest[k]; old == nil || old.index <= s.index {
 			latest[k] = s
@@ -95,7 +95,7 @@
 	return sum
 }
 
-func (s *seat) process(full bool, host uint64) *wire.Process {
+func (s *attachment) process(full bool, host uint64) *wire.Process {
 	a := s.attach
 	p := &wire.Process{Name: a.GetName(), Role: a.GetRole(), Epoch: a.GetEpoch(), Index: s.index, Host: host}
 	if full {
--- a/internal/controller/census.go
+++ b/internal/controller/census.go
@@ -27,7 +27,7 @@
 // census counts the processes attached to any control host. Hosts that do not
 // answer are left out.
 func (c *Controller) census(ctx context.Context, q *wire.Census) *wire.Count {
-	sum := c.desk.count(q, c.s.Number)
+	sum := c.attachments.count(q, c.s.Number)
 	var members *wire.Members
 	c.do(func() { members = c.members })
 	counts := make(chan *wire.Count)
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -35,15 +35,15 @@
 
 // Controller is one control host.
 type Controller struct {
-	s     Settings
-	own   *timer.Real // if New started it
-	rec   *recorder.Recorder
-	me    *wire.Member
-	state State
-	core  *replicator.Core
-	links *links
-	desk  *desk
-	marks *marks
+	s           Settings
+	own         *timer.Real // if New started it
+	rec         *recorder.Recorder
+	me          *wire.Member
+	state       State
+	core        *replicator.Core
+	links       *links
+	attachments *attachments
+	marks       *marks
 
 	listener *messenger.Listener
 	ctx      context.Context //nolint:containedctx // it is the lifetime of the process
@@ -98,7 +98,7 @@
 		ticks: make(chan time.Time, 1), looped: make(chan struct{}), started: make(chan struct{}), done: make(chan struct{}),
 		waiting: make(map[uint64]*waiter), reading: make(map[uint64]chan replicator.Read),
 		arrivals: make(map[uint64][]chan struct{}), updates: make(map[uint64]*wire.Update),
-		desk: newDesk(), marks: newMarks(),
+		attachments: newAttachments(), marks: newMarks(),
 	}
 	st, err := rec.Load()
 	if err != nil {
--- a/internal/controller/dump.go
+++ b/internal/controller/dump.go
@@ -46,7 +46,7 @@
 // Dump returns the state for the operations port.
 func (c *Controller) Dump() Dump {
 	d := Dump{Number: c.s.Number, Addr: c.Addr(), Lease: -1, ID: memberName(c.rec.Identity().GetId())}
-	d.Attached = int(c.desk.count(&wire.Census{}, 0).GetKnown())
+	d.Attached = int(c.attachments.count(&wire.Census{}, 0).GetKnown())
 	c.do(func() {
 		st := c.core.Status()
 		d.Founded, d.Role, d.Term = true, roleName(st.Role), st.Term
--- a/internal/controller/loop.go
+++ b/internal/controller/loop.go
@@ -223,7 +223,7 @@
 // changed tells the subscribers that there is something new for them.
 func (c *Controller) changed() {
 	clear(c.updates)
-	c.desk.wake()
+	c.attachments.wake()
 }
 
 // followMembers connects to the members of the log.
--- a/internal/controller/server.go
+++ b/internal/controller/server.go
@@ -51,7 +51,7 @@
 	case *wire.Request_Greet:
 		_ = s.Send(&wire.Response{Body: &wire.Response_Greeting{Greeting: c.greeting()}})
 	case *wire.Request_Census:
-		_ = s.Send(&wire.Response{Body: &wire.Response_Count{Count: c.desk.count(body.Census, c.s.Number)}})
+		_ = s.Send(&wire.Response{Body: &wire.Response_Count{Count: c.attachments.count(body.Census, c.s.Number)}})
 	}
 }
 
@@ -93,7 +93,7 @@
 	}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	seat := c.desk.add(a)
+	attachment := c.attachments.add(a)
 	c.s.Log.Info().Str("name", a.GetName()).Str("role", a.GetRole()).Uint64("index", a.GetIndex()).Msg("attached")
 	registered := make(chan struct{})
 	go func() {
@@ -107,14 +107,14 @@
 			if s.Recv(&b) != nil {
 				return
 			}
-			c.desk.beat(seat, &b)
+			c.attachments.beat(attachment, &b)
 		}
 	}()
 	c.feed(ctx, s, a.GetIndex())
 	cancel()
 	_ = s.Close()
 	<-registered
-	leaving := c.desk.remove(seat)
+	leaving := c.attachments.remove(attachment)
 	c.s.Log.Info().Str("name", a.GetName()).Str("role", a.GetRole()).Bool("leaving", leaving).Msg("detached")
 	if leaving {
 		// The stream's context has ended.
@@ -168,7 +168,7 @@
 	defer stop()
 	first := true
 	for ctx.Err() == nil {
-		bell := c.desk.changed()
+		changed := c.attachments.changed()
 		next, err := c.sendUpdate(s, sent, first)
 		if err != nil {
 			return
@@ -176,7 +176,7 @@
 		sent, first = next, false
 		select {
 		case <-ctx.Done():
-		case <-bell:
+		case <-changed:
 			c.pause(ctx, updateInterval)
 		case <-pulse:
 			if c.sendPulse(s, sent) != nil {
--- a/internal/driver/engine.go
+++ b/internal/driver/engine.go
@@ -91,9 +91,9 @@
 func (c *Client) Import(ctx context.Context, in Import) error {
 	inner, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	dog := newWatchdog(c.clock, c.stall, func() { cancel(ErrStalled) })
-	defer dog.close()
-	err := c.pull(inner, in, dog.feed)
+	watch := newWatchdog(c.clock, c.stall, func() { cancel(ErrStalled) })
+	defer watch.close()
+	err := c.pull(inner, in, watch.feed)
 	if err != nil && ctx.Err() == nil && errors.Is(context.Cause(inner), ErrStalled) {
 		err = ErrStalled
 	}
@@ -225,13 +225,13 @@
 	inner, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	silence := max(c.stall, minSilence)
-	dog := newWatchdog(c.clock, silence, func() { cancel(ErrBroken) })
-	defer dog.close()
+	watch := newWatchdog(c.clock, silence, func() { cancel(ErrBroken) })
+	defer watch.close()
 	res, err := c.get(inner, "/watch")
 	if err == nil {
 		defer func() { _ = res.Body.Close() }()
 		err = follow(inner, res, func(e Event) {
-			dog.feed()
+			watch.feed()
 			fn(e)
 		})
 	}
--- a/internal/subscriber/client.go
+++ b/internal/subscriber/client.go
@@ -91,9 +91,9 @@
 		return nil, fail
 	}
 	req := &wire.Request{Body: &wire.Request_Command{Command: cmd}}
-	tour := c.tour()
+	rotation := c.rotation()
 	for {
-		addr := tour.next()
+		addr := rotation.next()
 		response, sent, err := c.ask(ctx, addr, req)
 		res := response.GetResult()
 		switch {
@@ -106,13 +106,13 @@
 			return res, nil
 		case res.GetOutcome() == wire.Outcome_OUTCOME_REFUSED:
 			fail.Refused, fail.Cause = res, nil
-			tour.follow(res.GetLeader(), addr)
+			rotation.follow(res.GetLeader(), addr)
 		default:
 			fail.Stored = true
 			fail.Cause = errors.Newf("control host %s: %s", addr, res.GetText())
-			tour.follow(res.GetLeader(), addr)
+			rotation.follow(res.GetLeader(), addr)
 		}
-		if err := tour.pause(ctx, c.t); err != nil {
+		if err := rotation.pause(ctx, c.t); err != nil {
 			if fail.Cause == nil {
 				fail.Cause = err
 			}
@@ -141,9 +141,9 @@
 	req := &wire.Request{Body: &wire.Request_Query{Query: q}}
 	var stale *wire.Table
 	var last error
-	tour := c.tour()
+	rotation := c.rotation()
 	for range c.s.Hosts {
-		addr := tour.next()
+		addr := rotation.next()
 		response, _, err := c.ask(ctx, addr, req)
 		if err == nil {
 			err = fault(response)
@@ -324,8 +324,8 @@
 	_ = s.Close()
 }
 
-// tour is the order in which one call visits the hosts.
-type tour struct {
+// rotation is the order in which one call visits the hosts.
+type rotation struct {
 	hosts []string
 	at    int
 	hint  string // leader named by a host
@@ -333,10 +333,10 @@
 	wait  backoff
 }
 
-func (c *Client) tour() *tour {
+func (c *Client) rotation() *rotation {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	t := &tour{hosts: c.s.Hosts, wait: newBackoff(&c.s)}
+	t := &rotation{hosts: c.s.Hosts, wait: newBackoff(&c.s)}
 	if at := slices.Index(t.hosts, c.prefer); at >= 0 {
 		t.at = at
 	} else {
@@ -346,7 +346,7 @@
 	return t
 }
 
-func (t *tour) next() string {
+func (t *rotation) next() string {
 	t.calls++
 	if t.hint != "" {
 		addr := t.hint
@@ -361,14 +361,14 @@
 }
 
 // follow visits the leader next, unless it is the host that named it.
-func (t *tour) follow(leader, from string) {
+func (t *rotation) follow(leader, from string) {
 	if leader != from {
 		t.hint = leader
 	}
 }
 
 // pause waits after each round over all hosts. It fails when ctx has ended.
-func (t *tour) pause(ctx context.Context, clock timer.Service) error {
+func (t *rotation) pause(ctx context.Context, clock timer.Service) error {
 	if t.calls%len(t.hosts) == 0 {
 		woken := make(chan struct{})
 		stop := clock.After(t.wait.wait(), func(time.Time) { close(woken) })
