Prove that a shutdown under a flood cuts off no request

Cause: graceful shutdown was proved with single streams only. Ruled out: counting refusals; 'not run' is an answer, a broken connection is not.

--- a/cmd/damasklever/session_test.go
+++ b/cmd/damasklever/session_test.go
@@ -34,6 +34,7 @@
 		"engine": engineMain,
 		"plain":  plainMain,
 		"caller": callerMain,
+		"flood":  floodMain,
 	})
 }
 
