Let the retry budget cover the loss of one server

Cause: when the agent and the engine of one of two decode servers were killed under 30 requests at a time, 7 of 87 streams ended with 502: the retry budget allowed 3 retries in 10 s before enough first attempts were counted, and the server held about 15 streams. Ruled out: lost connections of the surviving server (none) and refusals (none); all 7 named the budget. Conclusion: the loss of a server costs its callers time and no answer.

--- a/internal/admitter/settings.go
+++ b/internal/admitter/settings.go
@@ -18,7 +18,7 @@
 	Ranks   []Rank
 	Window  time.Duration // over which recent attempts and shares are counted
 	Retries float64       // retries allowed as a fraction of recent first attempts
-	Spare   float64       // retries always allowed within the window
+	Spare   float64       // retries always allowed within the window, the requests that one lost server held
 	Unknown time.Duration // least time to retry in a refusal
 	Prefill float64       // prompt tokens a second of one server, until one reports a rate
 	Fixed   time.Duration // first-token time besides queue and prefill: messages and transfer
@@ -34,7 +34,7 @@
 		},
 		Window:  10 * time.Second,
 		Retries: 0.1,
-		Spare:   3,
+		Spare: 20,
 		Unknown: 250 * time.Millisecond,
 		Prefill: 10000,
 		Fixed:   50 * time.Millisecond,
