--- a/internal/admitter/settings.go
+++ b/internal/admitter/settings.go
@@ -34,7 +34,7 @@
 		},
 		Window:  10 * time.Second,
 		Retries: 0.1,
-		Spare: 20,
+		Spare:   20,
 		Unknown: 250 * time.Millisecond,
 		Prefill: 10000,
 		Fixed:   50 * time.Millisecond,
