Cut long cells in tables for people

Cause: the history printed each applied file whole, in one line. Before: a line of 800 characters for the demo's file. After: 80 and an ellipsis. Conclusion: the history can be read on a terminal.

--- a/cmd/damaskctl/print.go
+++ b/cmd/damaskctl/print.go
@@ -91,12 +91,19 @@
 	return nil
 }
 
+// mostRunes bounds a cell of a table for people. The history holds whole files;
+// --json prints them in full.
+const mostRunes = 80
+
 // clean makes a cell fit on one line and keeps callers' names from controlling
 // the operator's terminal.
 func clean(text string) string {
 	if text == "" {
 		return "-"
 	}
+	if runes := []rune(text); len(runes) > mostRunes {
+		text = string(runes[:mostRunes]) + "..."
+	}
 	text = strings.ReplaceAll(text, "\n", "; ")
 
 	return strings.Map(func(c rune) rune {
