Wait for the only server of a phase when it has failed before

Its first retry lost a transfer to an eviction, so the only prefill server counted as failed and no candidate was left; no byte had been sent, so the request did not wait. Ruled out: the retry budget (2 of 20 used) and a dead prefill server (it served the other streams). Requests that servers refuse because they are busy still end at once, as TestRetryGoesElsewhere demands.

--- a/internal/dispatcher/model_test.go
+++ b/internal/dispatcher/model_test.go
@@ -176,6 +176,16 @@
 			g.step(dispatcher.Imported{ID: decode}, g.chunk(decode, 0), g.chunk(decode, 1))
 			g.done(decode, 2)
 		}, want{text: "ab", result: done, status: 200, prefill: 2}},
+		"only server failed before the first byte": {func(g *rig) {
+			g.fleet.servers[wire.Phase_PHASE_PREFILL] = []string{"p1"}
+			g.step(dispatcher.Begin{}, dispatcher.Granted{ID: "r.1"}, dispatcher.Granted{ID: "r.3"})
+			g.end("r.3", wire.Status_STATUS_FAILED, 0)
+			g.wait(time.Second)
+			prefill := g.newest(wire.Phase_PHASE_PREFILL)
+			g.step(dispatcher.Granted{ID: prefill}, dispatcher.Prefilled{ID: prefill, Handle: "h2"},
+				dispatcher.Imported{ID: "r.1"}, g.chunk("r.1", 0))
+			g.done("r.1", 1)
+		}, want{text: "a", result: done, status: 200, prefill: 2}},
 		"no server for too long after a byte": {func(g *rig) {
 			g.decoding().step(g.chunk("r.1", 0))
 			g.end("r.1", wire.Status_STATUS_FAILED, 0)
--- a/internal/dispatcher/request.go
+++ b/internal/dispatcher/request.go
@@ -54,7 +54,7 @@
 	Keep     time.Duration // a prefill result is evicted this long after Prefilled at the latest
 	Gap      time.Duration // a longer pause between chunks counts as a lost stream
 	Linger   time.Duration // wait for the end of a claimed call after its final answer
-	Patience time.Duration // wait for a server to continue an answer that the caller has in part
+	Patience time.Duration // wait for a server for a request that was started again
 	Asks     int           // candidates asked at once
 	Rounds   int           // times that candidates are asked for one phase
 	Resumes  int           // resumptions without a new chunk
--- a/internal/dispatcher/track.go
+++ b/internal/dispatcher/track.go
@@ -216,15 +216,17 @@
 	}
 }
 
-// askPause is the time between two tries to find a server for an answer that
-// the caller has in part. It is as long as an agent that is down is left alone.
+// askPause is the time between two tries to find a server for a request that was
+// started again. It is as long as an agent that is down is left alone.
 const askPause = 250 * time.Millisecond
 
 // pause waits for a server instead of ending a request whose caller has a part
-// of the answer already. A request without a byte is refused at once, since its
-// caller loses nothing by coming back.
+// of the answer already, or one that was started again and found only servers
+// that had failed: one of them may be the only one, and back soon. All others
+// end at once. Their callers lose nothing by coming back, and servers that are
+// busy are not asked again and again.
 func (m *Machine) pause(t *track) bool {
-	if m.stream.emitted() == 0 {
+	if m.plain() || m.stream.emitted() == 0 && (m.retries == 0 || t.after > 0) {
 		return false
 	}
 	if m.patience.IsZero() {
