Wait in a drain for the first request of a connection

The drain closed each connection without a request as idle, also one accepted a moment ago whose request was on its way. Ruled out: a request in flight (the queue of the connection holds it) and a reset by the kernel (the caller saw EOF, not a reset). A connection that sends nothing is closed after 1 s.

--- a/internal/listener/listener_test.go
+++ b/internal/listener/listener_test.go
@@ -364,6 +364,34 @@
 	}
 }
 
+// Guards against a drain that closes a connection whose first request is on its
+// way, which the caller sees as cut off, and against one that waits for ever for
+// a connection that sends nothing.
+func TestDrainWaitsForFirstRequest(t *testing.T) {
+	l, clock := start(t, echo(), listener.Settings{})
+	fresh, reader := wireup(t, l)
+	_, silent := wireup(t, l)
+	used, idle := wireup(t, l)
+	io.WriteString(used, "GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+	receive(t, idle)
+	ended := make(chan error, 1)
+	go func() { ended <- l.Drain(t.Context()) }()
+	if _, err := idle.ReadByte(); !errors.Is(err, io.EOF) {
+		t.Errorf("used connection: got %v, want %v", err, io.EOF)
+	}
+	io.WriteString(fresh, post("/s/d/p", "x"))
+	if got, want := receive(t, reader).body, "POST /p x"; got != want {
+		t.Errorf("first request during the drain: got %q, want %q", got, want)
+	}
+	clock.Advance(time.Second)
+	if _, err := silent.ReadByte(); !errors.Is(err, io.EOF) {
+		t.Errorf("silent connection: got %v, want %v", err, io.EOF)
+	}
+	if err := <-ended; err != nil {
+		t.Errorf("drain: got %v, want no error", err)
+	}
+}
+
 // Guards against a caller that reads nothing and holds an engine's memory.
 func TestStalledCaller(t *testing.T) {
 	emitted, ended := make(chan struct{}), make(chan struct{})
--- a/internal/listener/peer.go
+++ b/internal/listener/peer.go
@@ -26,6 +26,9 @@
 
 	input input // used by the poller only
 
+	begun time.Time   // when the connection was accepted
+	used  atomic.Bool // a request has arrived, at least in part
+
 	dropping atomic.Bool // input is read and dropped
 	partial  atomic.Bool // a request is being received
 	faulty   atomic.Bool // input ended with a fault, so the caller may still send
@@ -49,7 +52,7 @@
 func newPeer(l *Listener, conn net.Conn) *peer {
 	ctx, cancel := context.WithCancel(context.Background())
 
-	return &peer{l: l, conn: conn, ctx: ctx, cancel: cancel}
+	return &peer{l: l, conn: conn, ctx: ctx, cancel: cancel, begun: l.timers.Now()}
 }
 
 // gone is called after the connection is closed.
@@ -72,6 +75,7 @@
 	p.input.completed = false
 	err := parser.Parse(data)
 	p.partial.Store(!p.input.completed)
+	p.used.Store(true) // after partial, so that a drain sees one or the other
 	if f := p.input.verdict(data, err, p.l.settings.Header); f != nil {
 		p.faulty.Store(true)
 		p.dropping.Store(true)
@@ -135,8 +139,16 @@
 	return nil
 }
 
-// closeIdle closes the connection if no request is running or being received.
+// freshTime is how long a drain waits for the first request of a connection. Its
+// bytes may be on their way: callers send them right after they have connected.
+const freshTime = time.Second
+
+// closeIdle closes the connection if no request is running or being received,
+// and the first one has had time to arrive.
 func (p *peer) closeIdle() {
+	if !p.used.Load() && p.l.timers.Now().Sub(p.begun) < freshTime {
+		return
+	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if len(p.queue) == 0 && !p.last && !p.partial.Load() {
