Serve opaque requests on the platform

The whole path in thin form: the entry role routes any method, path and body by host and prefix to servers of the platform's host list, model requests through prefill, transfer and decode or directly; the control role keeps the operator's whole configuration as a plan in the replicated log and repairs its members without an operator. platform/ holds the adapters and their composition root.

The drain of the product's own listener closed a connection whose request had been received but not queued yet: the handler runs in another goroutine.

--- a/cmd/damasklever/process.go
+++ b/cmd/damasklever/process.go
@@ -14,6 +14,7 @@
 
 	"github.com/damasklever/damasklever/internal/configurer"
 	"github.com/damasklever/damasklever/internal/operator"
+	"github.com/damasklever/damasklever/internal/reporter"
 )
 
 // shutdownMargin is the time beyond the drain of a role after which its
@@ -48,12 +49,7 @@
 
 // newLogger writes one key=value line per event to standard error.
 func newLogger(p configurer.Process, name string) *log.Logger {
-	return &log.Logger{
-		Level:      log.ParseLevel(p.Level),
-		TimeFormat: time.RFC3339Nano,
-		Context:    log.NewContext(nil).Str("role", name).Str("proc", p.Name).Value(),
-		Writer:     &log.ConsoleWriter{Formatter: formatLine, Writer: os.Stderr},
-	}
+	return reporter.New(reporter.Settings{Role: name, Name: p.Name, Level: p.Level, Writer: os.Stderr})
 }
 
 // run starts the role and its operations port and waits until the role ends or
--- a/internal/admitter/admitter.go
+++ b/internal/admitter/admitter.go
@@ -3,7 +3,6 @@
 package admitter
 
 import (
-	"math"
 	"time"
 )
 
@@ -73,6 +72,7 @@
 	}
 	a.s = s
 	for _, sv := range a.services {
+		sv.retries.fraction, sv.retries.spare, sv.retries.window = s.Retries, s.Spare, s.Window
 		sv.resize(len(s.Ranks))
 	}
 
@@ -106,7 +106,7 @@
 		return Verdict{Reason: ReasonRank}
 	}
 	sv := a.service(q.Service)
-	sv.firsts.add(now, 1, a.s.Window)
+	sv.retries.First(now)
 	rank := a.s.Ranks[q.Rank]
 	first, gap, ok := sv.estimate(now, q, a.s)
 	if !ok {
@@ -149,20 +149,15 @@
 // Retry consumes one retry from the service's budget and tells whether there
 // was one.
 func (a *Admitter) Retry(now time.Time, service string) bool {
-	sv := a.service(service)
-	budget := math.Max(a.s.Spare, a.s.Retries*sv.firsts.read(now, a.s.Window))
-	if sv.retries.read(now, a.s.Window)+1 > budget {
-		return false
-	}
-	sv.retries.add(now, 1, a.s.Window)
-
-	return true
+	return a.service(service).retries.Repeat(now)
 }
 
+func (a *Admitter) budget() *Budget { return NewBudget(a.s.Retries, a.s.Spare, a.s.Window) }
+
 func (a *Admitter) service(name string) *service {
 	sv := a.services[name]
 	if sv == nil {
-		sv = &service{phases: map[string]*phase{}}
+		sv = &service{phases: map[string]*phase{}, retries: a.budget()}
 		sv.resize(len(a.s.Ranks))
 		a.services[name] = sv
 	}
--- /dev/null
+++ b/internal/admitter/budget.go
@@ -0,0 +1,36 @@
+package admitter
+
+import (
+	"math"
+	"time"
+)
+
+// Budget bounds the second and later sends of a service's requests by a fraction
+// of its recent first ones. It is not safe for concurrent use.
+type Budget struct {
+	fraction float64
+	spare    float64
+	window   time.Duration
+	firsts   meter
+	repeats  meter
+}
+
+// NewBudget returns a budget that allows the fraction of the first sends in about
+// window, and at least spare.
+func NewBudget(fraction, spare float64, window time.Duration) *Budget {
+	return &Budget{fraction: fraction, spare: spare, window: window}
+}
+
+// First counts the first send of a request.
+func (b *Budget) First(now time.Time) { b.firsts.add(now, 1, b.window) }
+
+// Repeat takes one further send and tells whether there was one left.
+func (b *Budget) Repeat(now time.Time) bool {
+	allowed := math.Max(b.spare, b.fraction*b.firsts.read(now, b.window))
+	if b.repeats.read(now, b.window)+1 > allowed {
+		return false
+	}
+	b.repeats.add(now, 1, b.window)
+
+	return true
+}
--- a/internal/admitter/service.go
+++ b/internal/admitter/service.go
@@ -76,8 +76,7 @@
 type service struct {
 	phases  map[string]*phase
 	ranks   []*usage
-	firsts  meter // first attempts
-	retries meter
+	retries *Budget
 }
 
 func (sv *service) resize(n int) {
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -88,7 +88,7 @@
 	if err := s.Validate(); err != nil {
 		return nil, errors.Newf("new controller: %w", err)
 	}
-	rec, err := recorder.Open(s.Folder, recorder.Settings{Number: s.Number, Files: s.Files})
+	rec, err := openRecorder(s)
 	if err != nil {
 		return nil, errors.Newf("new controller: %w", err)
 	}
@@ -182,6 +182,14 @@
 	stop := c.s.Timer.Every(c.s.Heartbeat/ticksPerHeartbeat, c.tick)
 	defer stop()
 	defer c.s.Timer.Every(min(censusInterval, c.s.Absent/3), func(time.Time) { c.post(c.startCensus) })()
+	if c.s.Repair {
+		defer c.s.Timer.Every(repairInterval, func(time.Time) { c.post(c.trim) })()
+		c.work.Add(1)
+		go func() {
+			defer c.work.Done()
+			c.enrol()
+		}()
+	}
 	c.tick(c.s.Timer.Now())
 	c.founded.Store(true)
 	c.s.Log.Info().Uint64("number", c.s.Number).Str("addr", c.me.GetAddr()).
--- a/internal/controller/fake_test.go
+++ b/internal/controller/fake_test.go
@@ -122,3 +122,6 @@
 
 	return slices.Clone(f.Lost)
 }
+
+// Plan implements State.
+func (s *fakeState) Plan() *wire.Plan { return nil }
--- a/internal/controller/server.go
+++ b/internal/controller/server.go
@@ -218,6 +218,9 @@
 func (c *Controller) sendPulse(s *messenger.Stream, sent uint64) error {
 	p := &wire.Pulse{Lease: neverHeard}
 	c.do(func() {
+		for _, m := range c.members.GetVoters() {
+			p.Hosts = append(p.Hosts, m.GetAddr())
+		}
 		p.Index = min(c.state.Index(), sent)
 		if lease := c.core.Lease(c.s.Timer.Now()); lease >= 0 {
 			p.Lease = min(lease.Milliseconds(), neverHeard)
--- a/internal/controller/settings.go
+++ b/internal/controller/settings.go
@@ -24,6 +24,8 @@
 	defaultForce     = time.Second
 	defaultAbsent    = 15 * time.Second
 	defaultCompact   = 10_000
+	// defaultSize bears the loss of one host.
+	defaultSize = 3
 )
 
 // State is the replicated state machine. The controller serialises all calls.
@@ -38,6 +40,8 @@
 	// goroutine and while commands are applied.
 	Capture() func() ([]byte, error)
 	Restore(data []byte) error
+	// Plan is the routing plan in force, or nil.
+	Plan() *wire.Plan
 }
 
 // Settings of a control process. Listen and Folder have no defaults.
@@ -53,6 +57,14 @@
 	// used only while Folder is empty. All of them must be up once at the same
 	// time to found the cluster.
 	Members []*wire.Member
+	// Repair makes this host change the members without an operator: one that is
+	// new, or has lost its data directory, asks to be added, and the leader removes
+	// members that are gone once there are more than Size.
+	Repair bool
+	// Size is the number of members that Repair keeps.
+	Size int
+	// Seeds are the addresses at which a host to be added looks for members.
+	Seeds []string
 	// Join is set, and Members empty, on a host that waits until it is added to
 	// a cluster that exists.
 	Join bool
@@ -99,6 +111,9 @@
 	if s.Number == 0 {
 		s.Number = 1
 	}
+	if s.Size == 0 {
+		s.Size = defaultSize
+	}
 	if s.Compact == 0 {
 		s.Compact = defaultCompact
 	}
--- /dev/null
+++ b/internal/gateway/dialect.go
@@ -0,0 +1,55 @@
+package gateway
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/damasklever/damasklever/internal/courier"
+	"github.com/damasklever/damasklever/internal/placer"
+)
+
+// Hints is what a caller says about its request beside the request itself.
+type Hints struct {
+	ID string
+	// Wait is how long the caller waits for the answer, 0 if it does not say.
+	Wait time.Duration
+	// Prompt and Limit are the prompt tokens and the most output tokens of a model
+	// request.
+	Prompt, Limit int
+	// Last is the id of the last event that the caller has, of a stream that it
+	// resumes.
+	Last string
+}
+
+// Send is what one send adds to the caller's headers.
+type Send struct {
+	// Server is the only server that may run the request.
+	Server string
+	// Left is the time until the answer is due.
+	Left time.Duration
+	Rank int32
+	// Prefill asks for the prompt to be read and kept, without an answer.
+	Prefill bool
+	// Source is the address of the server that keeps the prompt, and Handle the
+	// name of what it keeps; both are empty if the server reads the prompt itself.
+	Source, Handle string
+	// Last is the id of the last event that the caller has been sent.
+	Last string
+}
+
+// Dialect translates between HTTP headers and the gateway's types.
+type Dialect interface {
+	// Hints reads what the caller says. The error tells the caller what is wrong.
+	Hints(h http.Header) (Hints, error)
+	// Header returns the end-to-end headers of one send. Those that the system sets
+	// are taken out if the caller sent them.
+	Header(caller http.Header, s Send) http.Header
+	// Refused tells whether a response says that the request has not run.
+	Refused(status int, h http.Header) bool
+	// Leaving tells whether a response says that its server is going away.
+	Leaving(h http.Header) bool
+	// Handle reads the answer to a send with Prefill.
+	Handle(body []byte) (string, error)
+	// Free is the request that gives back what a server keeps under a handle.
+	Free(s *placer.Server, handle string) *courier.Request
+}
--- /dev/null
+++ b/internal/gateway/plain.go
@@ -0,0 +1,156 @@
+package gateway
+
+import (
+	"net/http"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/damasklever/damasklever/internal/courier"
+	"github.com/damasklever/damasklever/internal/placer"
+	"github.com/damasklever/damasklever/internal/planner"
+)
+
+// answer is a whole response of a server.
+type answer struct {
+	status int
+	header http.Header
+	body   []byte
+}
+
+// end says how one send ended.
+type end int
+
+const (
+	endAnswered end = iota
+	// endFailed: the server answered with a failure of its own.
+	endFailed
+	// endRefused: the request has not run there and never will.
+	endRefused
+	// endUnsent: the server was not reached.
+	endUnsent
+	// endBroken: the request may have run.
+	endBroken
+	// endGone: the caller has left.
+	endGone
+	// endDue: the answer is due and the request may have run.
+	endDue
+)
+
+// String names the end for logs and metrics.
+func (e end) String() string {
+	return [...]string{"answered", "failed", "refused", "unsent", "broken", "gone", "due"}[e]
+}
+
+// maxUnsent bounds the servers that are tried without reaching one.
+const maxUnsent = 4
+
+// plain serves a request of a plain service.
+func (f *flight) plain() {
+	var kept *answer // a failure to pass on if the next send is no better
+	for unsent := 0; unsent < maxUnsent; {
+		c, ok := f.g.s.Placer.PickPlain(f.g.s.Timer.Now(), placer.Query{Pool: f.pool, Avoid: f.avoid})
+		if !ok {
+			break
+		}
+		got, e, err := f.call(c.Server)
+		f.g.s.Placer.Done(c.Server.ID)
+		f.note(c, e, err)
+		if e == endFailed {
+			kept = got
+		}
+		switch {
+		case e == endAnswered:
+			f.pass(got)
+
+			return
+		case e == endGone:
+			f.gone()
+
+			return
+		case e == endUnsent:
+			unsent++
+			f.avoid = append(f.avoid, c.Server.ID)
+
+			continue
+		case (e == endRefused || planner.Repeatable(f.path)) && f.again():
+			continue
+		}
+		f.conclude(kept, e)
+
+		return
+	}
+	if f.sends > 0 {
+		f.conclude(kept, endBroken)
+
+		return
+	}
+	f.refuse("no server", f.g.s.Return)
+}
+
+// conclude ends a request that is not sent again.
+func (f *flight) conclude(kept *answer, e end) {
+	switch {
+	case kept != nil:
+		f.pass(kept)
+	case e == endRefused && f.sends == 1:
+		// Nothing but a refusal: an earlier send that broke may have run.
+		f.refuse("server refused", f.g.s.Return)
+	case e == endDue:
+		f.fail(http.StatusGatewayTimeout, "no answer in time")
+	default:
+		f.fail(http.StatusBadGateway, "the server failed")
+	}
+}
+
+// call sends the request to one server and reads the whole answer.
+func (f *flight) call(s *placer.Server) (*answer, end, error) {
+	response, err := f.g.s.Courier.Do(f.ctx, s.Addr, f.request(Send{Server: s.ID}))
+	if err != nil {
+		return nil, f.broken(s, err), err
+	}
+	f.sent(s)
+	body, err := readAll(response)
+	if err != nil {
+		return nil, f.broken(s, err), err
+	}
+	got := &answer{status: response.Status, header: response.Header, body: body}
+
+	return got, f.judge(s, response), nil
+}
+
+// judge says what a response means and tells the placer.
+func (f *flight) judge(s *placer.Server, r *courier.Response) end {
+	if f.g.s.Dialect.Leaving(r.Header) {
+		f.g.s.Placer.Leave(s.ID)
+	}
+	switch {
+	case f.g.s.Dialect.Refused(r.Status, r.Header):
+		f.g.s.Placer.Failed(f.g.s.Timer.Now(), s.ID)
+
+		return endRefused
+	case r.Status >= http.StatusInternalServerError:
+		return endFailed
+	default:
+		f.g.s.Placer.Succeeded(s.ID)
+
+		return endAnswered
+	}
+}
+
+// broken says what an error of a send means and tells the placer.
+func (f *flight) broken(s *placer.Server, err error) end {
+	unsent := errors.Is(err, courier.ErrNotSent)
+	switch {
+	case errors.Is(err, errDue) && !unsent:
+		return endDue
+	case f.ctx.Err() != nil && !errors.Is(err, errDue):
+		return endGone
+	}
+	f.g.s.Placer.Failed(f.g.s.Timer.Now(), s.ID)
+	if unsent {
+		return endUnsent
+	}
+	f.sent(s)
+
+	return endBroken
+}
--- /dev/null
+++ b/internal/gateway/reply.go
@@ -0,0 +1,121 @@
+package gateway
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/damasklever/damasklever/internal/placer"
+)
+
+// isEnd tells the end of a body from a body that broke off.
+func isEnd(err error) bool { return errors.Is(err, io.EOF) && !errors.Is(err, io.ErrUnexpectedEOF) }
+
+// hopHeaders concern one connection only.
+var hopHeaders = []string{
+	"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization", "Proxy-Connection",
+	"Te", "Trailer", "Transfer-Encoding", "Upgrade",
+}
+
+// EndToEnd returns the headers that are passed on.
+func EndToEnd(h http.Header) http.Header { return endToEnd(h) }
+
+func endToEnd(h http.Header) http.Header {
+	out := h.Clone()
+	for _, value := range h.Values("Connection") {
+		for name := range strings.SplitSeq(value, ",") {
+			out.Del(strings.TrimSpace(name))
+		}
+	}
+	for _, name := range hopHeaders {
+		out.Del(name)
+	}
+
+	return out
+}
+
+// pass gives a server's whole answer to the caller.
+func (f *flight) pass(a *answer) {
+	if f.r.Method != http.MethodHead {
+		a.header.Set("Content-Length", strconv.Itoa(len(a.body)))
+	}
+	f.head(a.status, a.header)
+	err := f.write(a.body)
+	f.finish("passed", a.status, err)
+}
+
+// write sends bytes to the caller at once.
+func (f *flight) write(b []byte) error {
+	rc := http.NewResponseController(f.w)
+	if err := rc.SetWriteDeadline(time.Now().Add(f.g.s.Stall)); err != nil {
+		return errors.Newf("bound write: %w", err)
+	}
+	if _, err := f.w.Write(b); err != nil {
+		return errors.Newf("write to caller: %w", err)
+	}
+	if err := rc.Flush(); err != nil {
+		return errors.Newf("write to caller: %w", err)
+	}
+
+	return nil
+}
+
+// refuse says that the request has not run, and when to come back.
+func (f *flight) refuse(reason string, after time.Duration) {
+	f.w.Header().Set("Retry-After", strconv.FormatFloat(after.Seconds(), 'f', -1, 64))
+	f.say(http.StatusServiceUnavailable, reason)
+	f.finish(reason, http.StatusServiceUnavailable, nil)
+}
+
+// fail ends the request with a status of the gateway's own.
+func (f *flight) fail(status int, reason string) {
+	f.say(status, reason)
+	f.finish(reason, status, nil)
+}
+
+func (f *flight) say(status int, reason string) {
+	f.w.Header().Set("Content-Type", "text/plain; charset=utf-8")
+	f.w.Header().Set("Content-Length", strconv.Itoa(len(reason)+1))
+	f.w.WriteHeader(status)
+	// The caller may be gone; there is nobody to tell.
+	_ = f.write([]byte(reason + "\n"))
+}
+
+// cut ends a stream that broke off, so that it cannot be taken for a whole one.
+func (f *flight) cut(e end) {
+	f.finish("cut: "+e.String(), http.StatusOK, nil)
+	panic(http.ErrAbortHandler)
+}
+
+// gone ends a request whose caller has left.
+func (f *flight) gone() {
+	f.finish("caller left", 0, nil)
+	panic(http.ErrAbortHandler)
+}
+
+// note logs how one send ended.
+func (f *flight) note(c placer.Choice, e end, err error) {
+	if err != nil && errors.Is(err, context.Canceled) {
+		err = nil
+	}
+	entry := f.g.s.Log.Info().Str("id", f.hints.ID).Str("server", c.Server.ID).Str("addr", c.Server.Addr).
+		Str("end", e.String()).Int("sends", f.sends)
+	if c.Prefill != nil {
+		entry = entry.Str("prefill", c.Prefill.ID)
+	}
+	entry.Err(err).Msg("sent")
+}
+
+// finish logs and counts the end of a request.
+func (f *flight) finish(reason string, status int, err error) {
+	took := f.g.s.Timer.Now().Sub(f.begun)
+	f.g.meters.observe(f.pool, f.path.GetRank(), status, took)
+	f.g.s.Log.Info().Str("id", f.hints.ID).Str("path", f.path.GetName()).Str("pool", f.pool).
+		Uint64("plan", f.version).Int32("rank", f.path.GetRank()).Int("status", status).Int("sends", f.sends).
+		Dur("took", took).Str("reason", reason).Err(err).Msg("request ended")
+}
--- /dev/null
+++ b/internal/gateway/settings.go
@@ -0,0 +1,90 @@
+package gateway
+
+import (
+	"io"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/phuslu/log"
+
+	"github.com/damasklever/damasklever/internal/courier"
+	"github.com/damasklever/damasklever/internal/placer"
+	"github.com/damasklever/damasklever/internal/planner"
+	"github.com/damasklever/damasklever/internal/timer"
+)
+
+// Settings of a gateway. Listen, Dialect, Plan, Placer, Courier and Timer have no
+// defaults.
+type Settings struct {
+	// Listen is ip:port for callers.
+	Listen string
+	// Dialect translates headers.
+	Dialect Dialect
+	// Plan returns the plan in force, nil before the first one.
+	Plan    func() *planner.Planner
+	Placer  *placer.Placer
+	Courier *courier.Courier
+	Timer   timer.Service
+	// Log receives one line a decision; nil discards them.
+	Log *log.Logger
+	// Repeats is the fraction of a pool's requests that may be sent once more, and
+	// Spare the number that may be in any case, both in about Window. All gateways
+	// together must stay below what the operator allows.
+	Repeats float64
+	Spare   float64
+	Window  time.Duration
+	// Return is when callers may come back after a refusal because no server has
+	// room.
+	Return time.Duration
+	// Stall is how long a caller may take to read one piece of its answer.
+	Stall time.Duration
+}
+
+const (
+	defaultRepeats = 0.1
+	// defaultSpare keeps eight gateways below 60 sends in any window: the meter
+	// forgets exponentially, so that a full window may hold 1.7 times as many.
+	defaultSpare  = 4
+	defaultWindow = 10 * time.Second
+	defaultReturn = 200 * time.Millisecond
+	defaultStall  = 10 * time.Second
+)
+
+// Defaults fills the fields that are zero.
+func (s *Settings) Defaults() {
+	fill(&s.Repeats, defaultRepeats)
+	fill(&s.Spare, defaultSpare)
+	fill(&s.Window, defaultWindow)
+	fill(&s.Return, defaultReturn)
+	fill(&s.Stall, defaultStall)
+	if s.Log == nil {
+		s.Log = &log.Logger{Writer: log.IOWriter{Writer: io.Discard}}
+	}
+}
+
+func fill[T comparable](field *T, value T) {
+	var zero T
+	if *field == zero {
+		*field = value
+	}
+}
+
+// Validate reports every fault at once.
+func (s *Settings) Validate() error {
+	var faults []error
+	add := func(bad bool, text string) {
+		if bad {
+			faults = append(faults, errors.New(text))
+		}
+	}
+	add(s.Listen == "", "listen: missing")
+	add(s.Dialect == nil || s.Plan == nil, "dialect and plan: missing")
+	add(s.Placer == nil || s.Courier == nil || s.Timer == nil, "placer, courier and timer: missing")
+	add(s.Repeats < 0 || s.Spare < 0, "repeats and spare: must not be negative")
+	add(s.Window <= 0 || s.Return <= 0 || s.Stall <= 0, "durations: must be positive")
+	if err := errors.Join(faults...); err != nil {
+		return errors.Newf("settings of gateway: %w", err)
+	}
+
+	return nil
+}
--- /dev/null
+++ b/internal/gateway/stream.go
@@ -0,0 +1,196 @@
+package gateway
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/damasklever/damasklever/internal/courier"
+	"github.com/damasklever/damasklever/internal/placer"
+)
+
+// freeTimeout bounds the call that gives a kept prompt back.
+const freeTimeout = 500 * time.Millisecond
+
+// stream serves a model request.
+func (f *flight) stream() {
+	out := &events{f: f, last: f.hints.Last}
+	var kept *answer
+	for unsent := 0; unsent < maxUnsent; {
+		now := f.g.s.Timer.Now()
+		c, ok := f.g.s.Placer.PickStream(now, placer.Query{Pool: f.pool, Prompt: f.hints.Prompt, Avoid: f.avoid})
+		if !ok {
+			break
+		}
+		got, e, err := f.generate(c, out)
+		f.g.s.Placer.Done(c.Server.ID)
+		f.note(c, e, err)
+		if e == endFailed {
+			kept = got
+		}
+		switch {
+		case e == endAnswered:
+			return
+		case e == endGone:
+			f.gone()
+
+			return
+		case e == endUnsent:
+			unsent++
+			f.avoid = append(f.avoid, c.Server.ID)
+
+			continue
+		case (e == endRefused || f.path.GetResume()) && f.again():
+			continue
+		case out.started:
+			f.cut(e)
+		default:
+			f.conclude(kept, e)
+		}
+
+		return
+	}
+	switch {
+	case out.started:
+		f.cut(endBroken)
+	case f.sends > 0:
+		f.conclude(kept, endBroken)
+	default:
+		f.refuse("no server", f.g.s.Return)
+	}
+}
+
+// generate runs the request at the chosen servers and passes the events on.
+func (f *flight) generate(c placer.Choice, out *events) (*answer, end, error) {
+	send := Send{Server: c.Server.ID, Last: out.last}
+	if c.Prefill != nil {
+		handle, err := f.prefill(c.Prefill)
+		if err != nil {
+			// The decode server reads the prompt itself.
+			f.note(placer.Choice{Server: c.Prefill}, endBroken, err)
+		} else {
+			send.Source, send.Handle = c.Prefill.Addr, handle
+		}
+	}
+	if f.ctx.Err() != nil {
+		f.free(c.Prefill, send.Handle)
+
+		return nil, f.ended(), context.Cause(f.ctx)
+	}
+	response, err := f.g.s.Courier.Do(f.ctx, c.Server.Addr, f.request(send))
+	if err != nil {
+		f.free(c.Prefill, send.Handle)
+
+		return nil, f.broken(c.Server, err), err
+	}
+	defer func() { _ = response.Body.Close() }()
+	f.sent(c.Server)
+	e := f.judge(c.Server, response)
+	if e == endRefused {
+		f.free(c.Prefill, send.Handle)
+	}
+	if response.Status != http.StatusOK {
+		body, err := readAll(response)
+		if err != nil {
+			return nil, f.broken(c.Server, err), err
+		}
+
+		return f.whole(response, body, e, out)
+	}
+	if err := out.copy(response); err != nil {
+		return nil, f.torn(c.Server, err), err
+	}
+
+	return nil, endAnswered, nil
+}
+
+// whole ends a send that was answered without a stream.
+func (f *flight) whole(r *courier.Response, body []byte, e end, out *events) (*answer, end, error) {
+	got := &answer{status: r.Status, header: r.Header, body: body}
+	if e == endAnswered && !out.started {
+		f.pass(got)
+
+		return nil, endAnswered, nil
+	}
+	if e == endAnswered {
+		e = endFailed
+	}
+
+	return got, e, nil
+}
+
+// torn says what an error in the middle of a stream means.
+func (f *flight) torn(s *placer.Server, err error) end {
+	if f.ctx.Err() != nil {
+		return f.ended()
+	}
+	if errors.Is(err, errCaller) {
+		return endGone
+	}
+	f.g.s.Placer.Failed(f.g.s.Timer.Now(), s.ID)
+
+	return endBroken
+}
+
+// ended says why the flight's context has ended.
+func (f *flight) ended() end {
+	if errors.Is(context.Cause(f.ctx), errDue) {
+		return endDue
+	}
+
+	return endGone
+}
+
+// prefill has a server read the prompt and returns the handle under which it
+// keeps it.
+func (f *flight) prefill(s *placer.Server) (string, error) {
+	defer f.g.s.Placer.Done(s.ID)
+	response, err := f.g.s.Courier.Do(f.ctx, s.Addr, f.request(Send{Server: s.ID, Prefill: true}))
+	if err != nil {
+		f.g.s.Placer.Failed(f.g.s.Timer.Now(), s.ID)
+
+		return "", errors.Newf("prefill: %w", err)
+	}
+	defer func() { _ = response.Body.Close() }()
+	body, err := readAll(response)
+	if err != nil {
+		f.g.s.Placer.Failed(f.g.s.Timer.Now(), s.ID)
+
+		return "", errors.Newf("prefill: %w", err)
+	}
+	if response.Status != http.StatusOK {
+		f.g.s.Placer.Failed(f.g.s.Timer.Now(), s.ID)
+
+		return "", errors.Newf("prefill: status %d", response.Status)
+	}
+	handle, err := f.g.s.Dialect.Handle(body)
+	if err != nil {
+		return "", errors.Newf("prefill: %w", err)
+	}
+	f.g.s.Placer.Read(f.g.s.Timer.Now(), s.ID)
+
+	return handle, nil
+}
+
+// free gives back a prompt that was read in vain, unless its server does so by
+// itself soon after.
+func (f *flight) free(s *placer.Server, handle string) {
+	if s == nil || handle == "" {
+		return
+	}
+	f.g.work.Add(1)
+	go func() {
+		defer f.g.work.Done()
+		ctx, cancel := context.WithTimeout(f.g.ctx, freeTimeout)
+		defer cancel()
+		response, err := f.g.s.Courier.Do(ctx, s.Addr, f.g.s.Dialect.Free(s, handle))
+		if err == nil {
+			_, err = io.Copy(io.Discard, response.Body)
+			_ = response.Body.Close()
+		}
+		f.g.s.Log.Info().Str("id", f.hints.ID).Str("server", s.ID).Err(err).Msg("prompt freed")
+	}()
+}
--- a/internal/listener/input.go
+++ b/internal/listener/input.go
@@ -139,6 +139,8 @@
 
 		return
 	}
+	// The handler runs in another goroutine, after this request counts as received.
+	i.p.arriving.Add(1)
 	i.Processor.OnComplete(parser)
 }
 
--- a/internal/listener/listener.go
+++ b/internal/listener/listener.go
@@ -234,6 +234,7 @@
 	}
 	if p := l.peer(wrapped.Conn); p != nil && parser != nil {
 		p.enqueue(newExchange(r))
+		p.arriving.Add(-1)
 	}
 }
 
--- a/internal/listener/peer.go
+++ b/internal/listener/peer.go
@@ -29,9 +29,10 @@
 	begun time.Time   // when the connection was accepted
 	used  atomic.Bool // a request has arrived, at least in part
 
-	dropping atomic.Bool // input is read and dropped
-	partial  atomic.Bool // a request is being received
-	faulty   atomic.Bool // input ended with a fault, so the caller may still send
+	dropping atomic.Bool  // input is read and dropped
+	partial  atomic.Bool  // a request is being received
+	arriving atomic.Int64 // requests received whole that are not in the queue yet
+	faulty   atomic.Bool  // input ended with a fault, so the caller may still send
 
 	mu    sync.Mutex
 	queue []*exchange // the first one is running
@@ -70,6 +71,7 @@
 	if p.dropping.Load() {
 		return
 	}
+	p.partial.Store(true) // these bytes have left the kernel's buffer
 	p.input.attach(p, parser)
 	p.input.heading += len(data)
 	p.input.completed = false
@@ -151,7 +153,7 @@
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if len(p.queue) == 0 && !p.last && !p.partial.Load() {
+	if len(p.queue) == 0 && !p.last && !p.partial.Load() && p.arriving.Load() == 0 {
 		p.last = true
 		p.hangUp()
 	}
--- /dev/null
+++ b/internal/planner/planner_test.go
@@ -0,0 +1,97 @@
+package planner_test
+
+import (
+	"testing"
+
+	"github.com/cockroachdb/errors"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/damasklever/damasklever/internal/planner"
+	"github.com/damasklever/damasklever/internal/wire"
+)
+
+func plan() *wire.Plan {
+	path := func(name, host, prefix, pool string) *wire.Path {
+		return &wire.Path{
+			Name: name, Host: host, Prefix: prefix, Nature: wire.Nature_NATURE_ONCE, Timeout: 1000,
+			Shares: []*wire.Share{{Pool: pool, Weight: 1}},
+		}
+	}
+
+	return &wire.Plan{
+		Version: 3,
+		Pools:   []*wire.Pool{{Name: "a"}, {Name: "b"}},
+		Paths:   []*wire.Path{path("long", "h", "/x/y/", "a"), path("short", "h", "/x/", "b")},
+	}
+}
+
+// Guards against a broken plan that comes into force.
+func TestValidate(t *testing.T) {
+	for name, test := range map[string]struct {
+		spoil func(p *wire.Plan)
+		want  bool
+	}{
+		"valid":           {func(*wire.Plan) {}, true},
+		"no version":      {func(p *wire.Plan) { p.Version = 0 }, false},
+		"unknown pool":    {func(p *wire.Plan) { p.Paths[0].Shares[0].Pool = "c" }, false},
+		"same place":      {func(p *wire.Plan) { p.Paths[1].Prefix = "/x/y/" }, false},
+		"same host case":  {func(p *wire.Plan) { p.Paths[1].Prefix, p.Paths[1].Host = "/x/y/", "H" }, false},
+		"no weight":       {func(p *wire.Plan) { p.Paths[0].Shares[0].Weight = 0 }, false},
+		"negative weight": {func(p *wire.Plan) { p.Paths[0].Shares[0].Weight = -1 }, false},
+		"no timeout":      {func(p *wire.Plan) { p.Paths[0].Timeout = 0 }, false},
+		"open prefix":     {func(p *wire.Plan) { p.Paths[0].Prefix = "/x" }, false},
+		"no nature":       {func(p *wire.Plan) { p.Paths[0].Nature = wire.Nature_NATURE_UNKNOWN }, false},
+		"pool twice":      {func(p *wire.Plan) { p.Pools[1].Name = "a" }, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			p := proto.CloneOf(plan())
+			test.spoil(p)
+			err := planner.Validate(p)
+			if got := err == nil; got != test.want {
+				t.Errorf("valid: got %v (%v), want %v", got, err, test.want)
+			}
+			if err != nil && !errors.Is(err, planner.ErrInvalid) {
+				t.Errorf("error: got %v, want one marked ErrInvalid", err)
+			}
+		})
+	}
+}
+
+// Guards against a request that is run by the service of another path.
+func TestMatch(t *testing.T) {
+	p := planner.New(plan())
+	for name, test := range map[string]struct{ host, target, want string }{
+		"longest":   {"h", "/x/y/z", "long"},
+		"shorter":   {"h", "/x/z/y/", "short"},
+		"exact":     {"h", "/x/", "short"},
+		"no slash":  {"h", "/x", ""},
+		"other":     {"h", "/y/x/", ""},
+		"host":      {"i", "/x/", ""},
+		"host case": {"H", "/x/", "short"},
+		"port":      {"h:80", "/x/", "short"},
+		"empty":     {"h", "", ""},
+	} {
+		t.Run(name, func(t *testing.T) {
+			if got := p.Match(test.host, test.target).GetName(); got != test.want {
+				t.Errorf("path: got %q, want %q", got, test.want)
+			}
+		})
+	}
+}
+
+// Guards against a split that sends requests to a pool of weight 0.
+func TestChoose(t *testing.T) {
+	path := &wire.Path{Shares: []*wire.Share{{Pool: "none"}, {Pool: "a", Weight: 90}, {Pool: "b", Weight: 10}}}
+	for name, test := range map[string]struct {
+		draw float64
+		want string
+	}{
+		"least": {0, "a"}, "below": {0.89, "a"}, "above": {0.9, "b"}, "most": {0.999, "b"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			if got := planner.Choose(path, test.draw); got != test.want {
+				t.Errorf("pool: got %q, want %q", got, test.want)
+			}
+		})
+	}
+}
--- a/internal/recorder/files.go
+++ b/internal/recorder/files.go
@@ -87,3 +87,20 @@
 
 	return file.Close, nil
 }
+
+// Clear removes the files of a recorder from a directory. What it interrupts
+// leaves a directory that Open reports as damaged or takes for a new one.
+func Clear(path string) error {
+	// The mark of an expelled member goes last: until then the rest is not used.
+	for _, name := range []string{identityFile, logFile, snapshotFile, voteFile, expelledFile} {
+		err := os.Remove(filepath.Join(path, name))
+		if err != nil && !errors.Is(err, os.ErrNotExist) {
+			return errors.Newf("remove file %s: %w", name, err)
+		}
+		if err := (folder{path: path}).SyncFolder(); err != nil {
+			return errors.Newf("sync directory: %w", err)
+		}
+	}
+
+	return nil
+}
--- a/internal/registrar/command.go
+++ b/internal/registrar/command.go
@@ -84,6 +84,8 @@
 		return "blame " + body.Blame.GetCrash()
 	case *wire.Command_Register:
 		return "register " + body.Register.GetAttach().GetName() + " " + strconv.FormatBool(body.Register.GetGone())
+	case *wire.Command_Plan:
+		return "plan " + strconv.FormatUint(body.Plan.GetVersion(), 10) + " " + string(body.Plan.GetSource())
 	case *wire.Command_Report:
 		return "report " + body.Report.GetServer() + " " + body.Report.GetOrder()
 	default:
--- a/internal/registrar/object.go
+++ b/internal/registrar/object.go
@@ -176,6 +176,8 @@
 		}
 	case *wire.Block:
 		u.Blocks = append(u.Blocks, m)
+	case *wire.Plan:
+		u.Plan = m
 	}
 }
 
--- /dev/null
+++ b/internal/registrar/plan_test.go
@@ -0,0 +1,69 @@
+package registrar_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/damasklever/damasklever/internal/registrar"
+	"github.com/damasklever/damasklever/internal/wire"
+)
+
+func planOf(version uint64, source string) *wire.Plan {
+	return &wire.Plan{
+		Version: version, Source: []byte(source), Pools: []*wire.Pool{{Name: "p"}},
+		Paths: []*wire.Path{{
+			Name: "x", Host: "h", Prefix: "/", Nature: wire.Nature_NATURE_ONCE, Timeout: 1,
+			Shares: []*wire.Share{{Pool: "p", Weight: 1}},
+		}},
+	}
+}
+
+// Guards against a plan that goes back, or that is taken over by other content
+// under its own version, also after a restart from a snapshot.
+func TestReplacePlan(t *testing.T) {
+	broken := planOf(9, "broken")
+	broken.Pools = nil
+	done, conflict, invalid := wire.Outcome_OUTCOME_DONE, wire.Outcome_OUTCOME_CONFLICT, wire.Outcome_OUTCOME_INVALID
+	steps := []struct {
+		plan *wire.Plan
+		want wire.Outcome
+		held uint64
+	}{
+		{planOf(3, "a"), done, 3},
+		{planOf(3, "a"), done, 3},
+		{planOf(3, "b"), conflict, 3},
+		{planOf(2, "c"), done, 3},
+		{broken, invalid, 3},
+		{planOf(7, "d"), done, 7},
+		{planOf(3, "a"), done, 7},
+	}
+	r := registrar.New()
+	for i, step := range steps {
+		res := r.Apply(uint64(i+1), time.Unix(1, 0), &wire.Command{
+			Id: fmt.Sprint(i), Body: &wire.Command_Plan{Plan: proto.CloneOf(step.plan)},
+		})
+		if got := res.GetOutcome(); got != step.want {
+			t.Errorf("step %d: got %v (%s), want %v", i, got, res.GetText(), step.want)
+		}
+		if got := r.Plan().GetVersion(); got != step.held {
+			t.Errorf("step %d, version in force: got %d, want %d", i, got, step.held)
+		}
+	}
+	data, err := r.Snapshot()
+	if err != nil {
+		t.Fatal(err)
+	}
+	again := registrar.New()
+	if err := again.Restore(data); err != nil {
+		t.Fatal(err)
+	}
+	if got, want := string(again.Plan().GetSource()), "d"; got != want {
+		t.Errorf("content after a restart: got %q, want %q", got, want)
+	}
+	if got, want := again.UpdateSince(0).GetPlan().GetVersion(), uint64(7); got != want {
+		t.Errorf("version sent to subscribers: got %d, want %d", got, want)
+	}
+}
--- a/internal/registrar/registrar.go
+++ b/internal/registrar/registrar.go
@@ -109,6 +109,8 @@
 		return r.blame(index, now, body.Blame)
 	case *wire.Command_Register:
 		return r.register(index, now, body.Register)
+	case *wire.Command_Plan:
+		return r.replace(index, body.Plan)
 	case *wire.Command_Report:
 		return r.report(index, now, body.Report)
 	default:
--- a/internal/registrar/snapshot.go
+++ b/internal/registrar/snapshot.go
@@ -138,6 +138,9 @@
 		kind = parser.Server
 	}
 	m := parser.New(kind)
+	if kind == planKind {
+		m = &wire.Plan{}
+	}
 	if m == nil {
 		return errors.Newf("decode snapshot: unknown kind %q", k.kind)
 	}
--- a/internal/replicator/replicator.go
+++ b/internal/replicator/replicator.go
@@ -83,6 +83,8 @@
 	Members               *wire.Members     // in force, committed or not
 	Settled               *wire.Members     // the last committed ones
 	Match                 map[uint64]uint64 // on the leader, by member
+	// Heard is the last message of each other member, on the leader.
+	Heard map[uint64]time.Time
 }
 
 // Core is one member. Its methods must not run at the same time.
@@ -258,9 +260,10 @@
 		ID: c.s.ID, Term: c.term, Leader: c.leader, Role: c.role, Commit: c.log.commit,
 		Last: c.log.last(), Applied: c.log.handed, Members: cloneMembers(m),
 		Settled: cloneMembers(c.log.membersAt(c.log.commit)), Match: make(map[uint64]uint64),
+		Heard: make(map[uint64]time.Time),
 	}
 	for id, p := range c.progress {
-		st.Match[id] = p.match
+		st.Match[id], st.Heard[id] = p.match, p.heard
 	}
 
 	return st
--- a/cmd/damasklever/logline.go
+++ b/internal/reporter/line.go
@@ -1,4 +1,4 @@
-package main
+package reporter
 
 import (
 	"io"
@@ -41,3 +41,8 @@
 
 	return strconv.Quote(text)
 }
+
+// lost is the line that stands for lines that were dropped.
+func lost(n int) string {
+	return "level=warn msg=\"log lines dropped\" count=" + strconv.Itoa(n) + "\n"
+}
--- a/internal/subscriber/client.go
+++ b/internal/subscriber/client.go
@@ -142,7 +142,7 @@
 	var stale *wire.Table
 	var last error
 	rotation := c.rotation()
-	for range c.s.Hosts {
+	for range rotation.hosts {
 		addr := rotation.next()
 		response, _, err := c.ask(ctx, addr, req)
 		if err == nil {
@@ -186,6 +186,13 @@
 	}
 }
 
+// setHosts replaces the hosts to ask.
+func (c *Client) setHosts(hosts []string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.s.Hosts = hosts
+}
+
 // replace makes another host the first to be asked, if it is the old one now.
 func (c *Client) replace(old, addr string) {
 	c.mu.Lock()
--- a/internal/subscriber/subscriber.go
+++ b/internal/subscriber/subscriber.go
@@ -37,6 +37,8 @@
 	wait    backoff
 	stops   []func()
 	started bool
+	seeds   []string // configured control hosts
+	named   []string // members that a control host has named
 	// confirmed is the last time at which a quorum was known to stand behind the
 	// view.
 	confirmed time.Time
@@ -69,6 +71,7 @@
 		s: client.s, t: t, client: client, ctx: ctx, cancel: cancel,
 		done: make(chan struct{}), changed: make(chan struct{}),
 		host: slices.Index(client.s.Hosts, client.prefer), wait: newBackoff(&client.s),
+		seeds: slices.Clone(s.Hosts),
 	}
 	sub.view.Store(emptyView())
 
@@ -148,12 +151,37 @@
 	return s.client.Propose(ctx, cmd)
 }
 
+// SetSeeds replaces the configured addresses of control hosts, "ip:port". Hosts
+// that a control host has named since stay known.
+func (s *Subscriber) SetSeeds(seeds []string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.seeds = slices.Clone(seeds)
+	s.learn(s.named)
+}
+
+// learn takes the members that a control host names. The seeds stay in the list:
+// they may be all that is left after an outage. It needs the lock.
+func (s *Subscriber) learn(named []string) {
+	s.named = named
+	hosts := slices.Concat(s.seeds, named)
+	slices.Sort(hosts)
+	hosts = slices.Compact(hosts)
+	if len(hosts) == 0 || slices.Equal(hosts, s.s.Hosts) {
+		return
+	}
+	s.s.Hosts = hosts
+	s.host %= len(hosts)
+	s.client.setHosts(hosts)
+	s.s.Log.Info().Strs("hosts", hosts).Msg("control hosts known")
+}
+
 // Beat sends a heartbeat at once, for example when the process begins to leave.
 func (s *Subscriber) Beat() { s.tick(s.t.Now()) }
 
 // connect starts a connection to the next host. It needs the lock.
 func (s *Subscriber) connect() {
-	l := &link{addr: s.s.Hosts[s.host], beats: make(chan *wire.Beat, 1), heard: s.t.Now()}
+	l := &link{addr: s.s.Hosts[s.host%len(s.s.Hosts)], beats: make(chan *wire.Beat, 1), heard: s.t.Now()}
 	l.ctx, l.cancel = context.WithCancel(s.ctx)
 	s.link = l
 	s.work.Add(1)
@@ -228,7 +256,7 @@
 	if s.ctx.Err() != nil {
 		return
 	}
-	s.host = (s.host + 1) % len(s.s.Hosts)
+	s.host = (s.host + 1) % len(s.s.Hosts) // the list may have become shorter
 	// Commands must not go first to the host that was just given up.
 	s.client.replace(l.addr, s.s.Hosts[s.host])
 	wait := s.wait.wait()
@@ -317,6 +345,9 @@
 // pulse checks that the host is in touch with a quorum and that the view keeps
 // up with it. It needs the lock.
 func (s *Subscriber) pulse(l *link, p *wire.Pulse) {
+	if len(p.GetHosts()) > 0 {
+		s.learn(p.GetHosts())
+	}
 	lease := time.Duration(p.GetLease()) * time.Millisecond
 	if lease > s.s.Stale {
 		s.leave(l, "it has not heard from a quorum for longer than "+s.s.Stale.String())
--- a/internal/subscriber/view.go
+++ b/internal/subscriber/view.go
@@ -7,6 +7,7 @@
 	"strings"
 	"time"
 
+	"github.com/damasklever/damasklever/internal/planner"
 	"github.com/damasklever/damasklever/internal/wire"
 )
 
@@ -15,6 +16,8 @@
 type View struct {
 	index, revision uint64
 
+	plan *planner.Planner // nil before the first plan
+
 	services map[string]*wire.Service
 	ranks    map[string]*wire.Rank
 	rules    map[string]*wire.Rule
@@ -67,6 +70,9 @@
 	return b
 }
 
+// Plan returns the routing plan in force, or nil before the first one.
+func (v *View) Plan() *planner.Planner { return v.plan }
+
 // Fence returns the current fencing token of a server, 0 if it is unknown.
 func (v *View) Fence(server string) uint64 { return v.servers[server].GetFence() }
 
@@ -78,6 +84,12 @@
 	}
 	n := &View{index: u.GetIndex(), revision: u.GetRevision()}
 	full := u.GetFull()
+	if n.plan = v.plan; full {
+		n.plan = nil
+	}
+	if u.GetPlan() != nil {
+		n.plan = planner.New(u.GetPlan())
+	}
 	n.services = merge(v.services, u.GetServices(), gone["service"], full, (*wire.Service).GetName)
 	n.ranks = merge(v.ranks, u.GetRanks(), gone["rank"], full, (*wire.Rank).GetName)
 	n.rules = merge(v.rules, u.GetRules(), gone["rule"], full, (*wire.Rule).GetName)
--- a/schema/generate.sh
+++ b/schema/generate.sh
@@ -1,8 +1,11 @@
 #!/usr/bin/env bash
-# Regenerates internal/wire. Needs protoc (Debian: protobuf-compiler) and
+# Regenerates internal/wire and platform/wire. Needs protoc (Debian: protobuf-compiler) and
 # protoc-gen-go; the build needs neither.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 go install google.golang.org/protobuf/cmd/protoc-gen-go@v1.36.12
-PATH="$(go env GOPATH)/bin:$PATH" protoc -I schema --go_out=. \
+export PATH="$(go env GOPATH)/bin:$PATH"
+protoc -I schema --go_out=. \
   --go_opt=module=github.com/damasklever/damasklever schema/*.proto
+protoc -I platform/schema --go_out=. \
+  --go_opt=module=github.com/damasklever/damasklever platform/schema/*.proto
