Lend the memory of model servers by an agent beside each

An agent now owns the memory of its server through the grant queue, and an entry asks before a prompt is read; a request that cannot be in time any more waits below all others.

--- a/internal/gateway/dialect.go
+++ b/internal/gateway/dialect.go
@@ -16,6 +16,9 @@
 	// Prompt and Limit are the prompt tokens and the most output tokens of a model
 	// request.
 	Prompt, Limit int
+	// Guess is the caller's estimate of the output tokens, often far off; 0 if it
+	// makes none.
+	Guess int
 	// Last is the id of the last event that the caller has, of a stream that it
 	// resumes.
 	Last string
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -48,13 +48,14 @@
 func (f *flight) plain() {
 	var kept *answer // a failure to pass on if the next send is no better
 	for unsent := 0; unsent < maxUnsent; {
-		c, ok := f.g.s.Placer.PickPlain(f.g.s.Timer.Now(), placer.Query{Pool: f.pool, Avoid: f.avoid})
+		now := f.g.s.Timer.Now()
+		c, ok := f.g.s.Placer.PickPlain(now, placer.Query{Pool: f.pool, Avoid: f.avoid})
 		if !ok {
 			break
 		}
 		got, e, err := f.call(c.Server)
 		f.g.s.Placer.Done(c.Server.ID)
-		f.note(c, e, err)
+		f.note(c, now, e, err)
 		if e == endFailed {
 			kept = got
 		}
--- a/internal/gateway/reply.go
+++ b/internal/gateway/reply.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"context"
 	"io"
 	"net/http"
 	"strconv"
@@ -99,23 +98,28 @@
 }
 
 // note logs how one send ended.
-func (f *flight) note(c placer.Choice, e end, err error) {
-	if err != nil && errors.Is(err, context.Canceled) {
-		err = nil
-	}
+func (f *flight) note(c placer.Choice, begun time.Time, e end, err error) {
 	entry := f.g.s.Log.Info().Str("id", f.hints.ID).Str("server", c.Server.ID).Str("addr", c.Server.Addr).
-		Str("end", e.String()).Int("sends", f.sends)
+		Str("end", e.String()).Int("sends", f.sends).Dur("took", f.g.s.Timer.Now().Sub(begun))
 	if c.Prefill != nil {
 		entry = entry.Str("prefill", c.Prefill.ID)
 	}
-	entry.Err(err).Msg("sent")
+	if err != nil && e != endGone {
+		entry = entry.Err(err)
+	}
+	entry.Msg("sent")
 }
 
 // finish logs and counts the end of a request.
 func (f *flight) finish(reason string, status int, err error) {
 	took := f.g.s.Timer.Now().Sub(f.begun)
 	f.g.meters.observe(f.pool, f.path.GetRank(), status, took)
-	f.g.s.Log.Info().Str("id", f.hints.ID).Str("path", f.path.GetName()).Str("pool", f.pool).
+	entry := f.g.s.Log.Info().Str("id", f.hints.ID).Str("path", f.path.GetName()).Str("pool", f.pool).
 		Uint64("plan", f.version).Int32("rank", f.path.GetRank()).Int("status", status).Int("sends", f.sends).
-		Dur("took", took).Str("reason", reason).Err(err).Msg("request ended")
+		Int("prompt", f.hints.Prompt).Int("limit", f.hints.Limit).Int("guess", f.hints.Guess).
+		Dur("took", took).Str("reason", reason)
+	if err != nil {
+		entry = entry.Err(err)
+	}
+	entry.Msg("request ended")
 }
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -24,6 +24,8 @@
 	Plan    func() *planner.Planner
 	Placer  *placer.Placer
 	Courier *courier.Courier
+	// Lenders lend the memory of model servers; nil if there are none.
+	Lenders Lenders
 	Timer   timer.Service
 	// Log receives one line a decision; nil discards them.
 	Log *log.Logger
@@ -36,6 +38,12 @@
 	// Return is when callers may come back after a refusal because no server has
 	// room.
 	Return time.Duration
+	// Growth is the part of the most output tokens that is reserved beside the
+	// prompt.
+	Growth float64
+	// Step is the time of one output token, and Read that of one prompt token at a
+	// prefill server.
+	Step, Read time.Duration
 	// Stall is how long a caller may take to read one piece of its answer.
 	Stall time.Duration
 }
@@ -48,6 +56,12 @@
 	defaultWindow = 10 * time.Second
 	defaultReturn = 200 * time.Millisecond
 	defaultStall  = 10 * time.Second
+	// defaultGrowth keeps ten answers, whose lengths vary, within the memory of a
+	// server in all but one of some hundred cases.
+	defaultGrowth = 0.5
+	// defaultStep and defaultRead are those of a 70 B model on four accelerators.
+	defaultStep = 4600 * time.Microsecond
+	defaultRead = 18 * time.Microsecond
 )
 
 // Defaults fills the fields that are zero.
@@ -57,6 +71,9 @@
 	fill(&s.Window, defaultWindow)
 	fill(&s.Return, defaultReturn)
 	fill(&s.Stall, defaultStall)
+	fill(&s.Growth, defaultGrowth)
+	fill(&s.Step, defaultStep)
+	fill(&s.Read, defaultRead)
 	if s.Log == nil {
 		s.Log = &log.Logger{Writer: log.IOWriter{Writer: io.Discard}}
 	}
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -8,6 +8,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/damasklever/damasklever/internal/borrower"
 	"github.com/damasklever/damasklever/internal/courier"
 	"github.com/damasklever/damasklever/internal/placer"
 )
@@ -20,14 +21,18 @@
 	out := &events{f: f, last: f.hints.Last}
 	var kept *answer
 	for unsent := 0; unsent < maxUnsent; {
-		now := f.g.s.Timer.Now()
-		c, ok := f.g.s.Placer.PickStream(now, placer.Query{Pool: f.pool, Prompt: f.hints.Prompt, Avoid: f.avoid})
-		if !ok {
-			break
+		r, err := f.reserve()
+		if err != nil {
+			f.unserved(out, kept, err)
+
+			return
 		}
-		got, e, err := f.generate(c, out)
+		now := f.g.s.Timer.Now()
+		c := r.choice
+		got, e, err := f.generate(r, out)
+		r.release()
 		f.g.s.Placer.Done(c.Server.ID)
-		f.note(c, e, err)
+		f.note(c, now, e, err)
 		if e == endFailed {
 			kept = got
 		}
@@ -53,24 +58,41 @@
 
 		return
 	}
+	f.unserved(out, kept, errNoServer)
+}
+
+// unserved ends a request for which there is no server, or no room in time.
+func (f *flight) unserved(out *events, kept *answer, err error) {
+	var refused *borrower.RefusedError
 	switch {
 	case out.started:
 		f.cut(endBroken)
 	case f.sends > 0:
 		f.conclude(kept, endBroken)
-	default:
+	case f.ctx.Err() != nil && f.ended() == endGone:
+		f.gone()
+	case errors.As(err, &refused):
+		f.refuse("no room: "+refused.Reason, max(refused.After, f.g.s.Return))
+	case errors.Is(err, errNoServer):
 		f.refuse("no server", f.g.s.Return)
+	default:
+		f.refuse("no room in time", f.g.s.Return)
 	}
 }
 
 // generate runs the request at the chosen servers and passes the events on.
-func (f *flight) generate(c placer.Choice, out *events) (*answer, end, error) {
+func (f *flight) generate(r *reservation, out *events) (*answer, end, error) {
+	c := r.choice
 	send := Send{Server: c.Server.ID, Last: out.last}
 	if c.Prefill != nil {
+		begun := f.g.s.Timer.Now()
 		handle, err := f.prefill(c.Prefill)
+		if r.prefill != nil {
+			r.prefill.Release()
+		}
 		if err != nil {
 			// The decode server reads the prompt itself.
-			f.note(placer.Choice{Server: c.Prefill}, endBroken, err)
+			f.note(placer.Choice{Server: c.Prefill}, begun, endBroken, err)
 		} else {
 			send.Source, send.Handle = c.Prefill.Addr, handle
 		}
@@ -103,6 +125,7 @@
 	if err := out.copy(response); err != nil {
 		return nil, f.torn(c.Server, err), err
 	}
+	f.finish("streamed", response.Status, nil)
 
 	return nil, endAnswered, nil
 }
--- /dev/null
+++ b/internal/lender/watch.go
@@ -0,0 +1,108 @@
+package lender
+
+import (
+	"context"
+	"time"
+
+	"github.com/damasklever/damasklever/internal/granter"
+)
+
+// wholeShare lets one caller use all of its rank: callers are not told apart here.
+const wholeShare = 100
+
+// look reads the server's report unless a read is under way.
+func (l *Lender) look() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.looking || l.ctx.Err() != nil {
+		return
+	}
+	l.looking = true
+	l.work.Add(1)
+	go func() {
+		defer l.work.Done()
+		ctx, cancel := context.WithTimeout(l.ctx, l.s.Lost)
+		defer cancel()
+		r, err := l.s.Gauge.Report(ctx)
+		l.take(r, err)
+	}()
+}
+
+// take follows a report.
+func (l *Lender) take(r Report, err error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.looking = false
+	now := l.s.Timer.Now()
+	if err != nil {
+		if !l.down && now.Sub(l.heard) >= l.s.Lost {
+			l.down = true
+			l.s.Log.Warn().Dur("silent", now.Sub(l.heard)).Err(err).Msg("server lost")
+			l.drop(now)
+			l.pushAll(now, true)
+		}
+
+		return
+	}
+	l.heard = now
+	old := l.report
+	l.report = r
+	if l.granter == nil || l.down || r.Born != old.Born || r.Phase != old.Phase || r.Total != old.Total {
+		l.begin(now)
+	}
+	if r.Leaving && !old.Leaving {
+		l.s.Log.Info().Msg("server is leaving")
+		l.deliver(l.granter.Drain(now))
+		l.pushAll(now, true)
+	}
+}
+
+// begin lends a server that has started or changed its work. What was lent of the
+// one before is gone with it. It needs the lock.
+func (l *Lender) begin(now time.Time) {
+	l.drop(now)
+	g, err := granter.New(l.granterSettings())
+	if err != nil {
+		l.s.Log.Error().Err(err).Msg("server cannot be lent")
+		l.granter, l.down = nil, true
+
+		return
+	}
+	l.granter, l.down = g, false
+	clear(l.granted)
+	l.s.Log.Info().Str("phase", string(l.report.Phase)).Int("total", l.report.Total).
+		Int64("born", l.report.Born).Msg("server found")
+	l.pushAll(now, true)
+}
+
+// drop refuses everything that waits. It needs the lock.
+func (l *Lender) drop(now time.Time) {
+	if l.granter != nil {
+		l.deliver(l.granter.Drain(now))
+	}
+}
+
+// granterSettings makes memory the unit of a decode server, and prompts that of a
+// prefill server, which reads few at a time.
+func (l *Lender) granterSettings() granter.Settings {
+	total := l.report.Total / l.s.Block
+	if l.report.Phase == Prefill {
+		total = l.s.Readers
+	}
+	s := granter.Defaults(max(total, 1))
+	s.Ranks = s.Ranks[:0]
+	for rank := range l.s.Ranks {
+		floor := l.s.Floor
+		if rank == 0 {
+			floor = 0
+		}
+		s.Ranks = append(s.Ranks, granter.Rank{Floor: floor, Share: wholeShare})
+	}
+	s.Lease = l.s.Lease
+	if l.report.Phase == Prefill {
+		s.Headroom = 0
+		s.Slots, s.Serial = l.s.Readers, true
+	}
+
+	return s
+}
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -4,6 +4,7 @@
 package placer
 
 import (
+	"cmp"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -236,6 +237,61 @@
 	return Choice{Server: direct.copy()}, true
 }
 
+// Lent is what a server's lender last said.
+type Lent struct {
+	// Total and Free are tokens of a decode server, and prompts of a prefill server.
+	Total, Free int
+	// Wait is the expected wait of a request of the query's rank.
+	Wait    time.Duration
+	Leaving bool
+}
+
+// Candidate is a server with a lender.
+type Candidate struct {
+	Server *Server
+	// Cost is the delay that the server counts for: its distance, the wait, and the
+	// transfer from or to the other server of the request.
+	Cost time.Duration
+}
+
+// crowding is what a full server counts for against an empty one, so that
+// requests spread before they have to wait.
+const crowding = 20 * time.Millisecond
+
+// Rank returns the servers of a stage whose lenders are known, the best first.
+// Need is in the unit of the lenders. With other, the other server of the request
+// is given already, and the prompt moves between the two.
+func (p *Placer) Rank(
+	now time.Time, q Query, stage Stage, need int, other *Server, lent func(id string) (Lent, bool),
+) []Candidate {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var out []Candidate
+	for _, st := range p.pools[q.Pool] {
+		if st.Leaving || st.Stage != stage || slices.Contains(q.Avoid, st.ID) {
+			continue
+		}
+		l, ok := lent(st.ID)
+		if !ok || l.Leaving {
+			continue
+		}
+		c := Candidate{Server: st.copy(), Cost: p.distance(&st.Server) + until(now, st.avoid)}
+		if other != nil {
+			c.Cost += p.transfer(&st.Server, other)
+		}
+		if l.Free < need {
+			c.Cost += max(l.Wait, p.s.Far)
+		}
+		if l.Total > 0 {
+			c.Cost += time.Duration(float64(crowding) * (1 - float64(l.Free)/float64(l.Total)))
+		}
+		out = append(out, c)
+	}
+	slices.SortStableFunc(out, func(a, b Candidate) int { return cmp.Compare(a.Cost, b.Cost) })
+
+	return out
+}
+
 // Done ends a request at a server. It is called once for each server of a choice.
 func (p *Placer) Done(id string) {
 	p.mu.Lock()
