--- a/internal/controller/plan.go
+++ b/internal/controller/plan.go
@@ -11,7 +11,7 @@
 	"github.com/damasklever/damasklever/internal/wire"
 )
 
-// ErrStale: this host cannot tell which plan is the newest.
+// ErrStale says that this host cannot tell which plan is the newest.
 var ErrStale = errors.New("no majority confirms which plan is the newest")
 
 // Replace puts a plan in force if its version is the highest, and returns once a
--- a/internal/controller/repair.go
+++ b/internal/controller/repair.go
@@ -76,7 +76,7 @@
 	})
 	slices.Sort(hosts)
 	hosts = slices.DeleteFunc(slices.Compact(hosts), func(a string) bool { return a == c.me.GetAddr() })
-	rand.Shuffle(len(hosts), func(i, j int) { hosts[i], hosts[j] = hosts[j], hosts[i] })
+	rand.Shuffle(len(hosts), func(i, j int) { hosts[i], hosts[j] = hosts[j], hosts[i] }) //nolint:gosec // no secret
 
 	return hosts, alone
 }
--- a/internal/courier/exchange.go
+++ b/internal/courier/exchange.go
@@ -57,7 +57,7 @@
 // receive reads heads until one belongs to the request.
 func (e *exchange) receive(r *Request) (*Response, error) {
 	for range maxStray {
-		head, err := http.ReadResponse(e.line.reader, &http.Request{Method: r.Method})
+		head, err := http.ReadResponse(e.line.reader, &http.Request{Method: r.Method}) //nolint:bodyclose // the caller of Do closes it
 		if err != nil {
 			return nil, errors.Newf("read response: %w", err)
 		}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -28,8 +28,8 @@
 	server *http.Server
 
 	leaving atomic.Bool
-	active  atomic.Int64 // requests in flight
-	ctx     context.Context
+	active  atomic.Int64    // requests in flight
+	ctx     context.Context //nolint:containedctx // it is the lifetime of the gateway
 	cancel  context.CancelFunc
 	done    chan struct{}
 	once    sync.Once
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -57,7 +57,7 @@
 	f.ctx = ctx
 	g.first(f.pool)
 	if f.path.GetNature() == wire.Nature_NATURE_STREAM {
-		f.stream()
+		f.stream() //nolint:contextcheck // what a request leaves at a server is freed after its end
 	} else {
 		f.plain()
 	}
