Test the courier, the placer, the gateway and the lenders

Found by the tests: a request that every server had refused was answered 502 although it has not run (now 503 with Retry-After), and asks that waited for a server were refused when that server restarted (now they wait on).

--- a/internal/borrower/borrower.go
+++ b/internal/borrower/borrower.go
@@ -188,15 +188,17 @@
 type Grant struct {
 	Server string
 	// Wait is how long it took.
-	Wait time.Duration
-	id   string
-	link *link
-	once sync.Once
+	Wait    time.Duration
+	release func()
+	once    sync.Once
 }
 
+// NewGrant returns a grant that release gives back.
+func NewGrant(server string, release func()) *Grant { return &Grant{Server: server, release: release} }
+
 // Release gives the grant back.
 func (g *Grant) Release() {
-	g.once.Do(func() { g.link.release(g.id) })
+	g.once.Do(g.release)
 }
 
 // RefusedError says that no server would grant an ask.
@@ -245,7 +247,10 @@
 			if v.granted {
 				withdraw(asked)
 
-				return &Grant{Server: v.link.server, id: v.id, link: v.link, Wait: b.s.Timer.Now().Sub(begun)}, nil
+				g := NewGrant(v.link.server, func() { v.link.release(v.id) })
+				g.Wait = b.s.Timer.Now().Sub(begun)
+
+				return g, nil
 			}
 			if refused.After == 0 || v.refused.After > 0 && v.refused.After < refused.After {
 				*refused = v.refused
--- /dev/null
+++ b/internal/courier/courier_test.go
@@ -0,0 +1,230 @@
+package courier_test
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/damasklever/damasklever/internal/courier"
+)
+
+const (
+	headID = "Id"
+	ok     = "HTTP/1.1 200 OK\r\nId: a\r\nContent-Length: 2\r\n\r\nok"
+)
+
+// server answers each request on a connection with the next of its scripts. An
+// empty script leaves the request unanswered; one that ends in "!" closes the
+// connection, and one that ends in "?" resets it.
+type server struct {
+	net.Listener
+	scripts  []string
+	conns    atomic.Int64
+	requests chan string
+}
+
+func serve(t *testing.T, scripts ...string) *server {
+	t.Helper()
+	l, err := (&net.ListenConfig{}).Listen(t.Context(), "tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := &server{Listener: l, scripts: scripts, requests: make(chan string, 16)}
+	t.Cleanup(func() { l.Close() })
+	go func() {
+		for {
+			conn, err := l.Accept()
+			if err != nil {
+				return
+			}
+			s.conns.Add(1)
+			s.handle(conn)
+		}
+	}()
+
+	return s
+}
+
+func (s *server) handle(conn net.Conn) {
+	defer conn.Close()
+	reader := bufio.NewReader(conn)
+	for len(s.scripts) > 0 {
+		r, err := http.ReadRequest(reader)
+		if err != nil {
+			return
+		}
+		body, _ := io.ReadAll(r.Body)
+		s.requests <- r.Method + " " + r.RequestURI + " " + r.Host + " " + string(body)
+		script := s.scripts[0]
+		s.scripts = s.scripts[1:]
+		text, closes := strings.CutSuffix(script, "!")
+		text, resets := strings.CutSuffix(text, "?")
+		io.WriteString(conn, text)
+		if tcp, ok := conn.(*net.TCPConn); ok && resets {
+			tcp.SetLinger(0)
+		}
+		if closes || resets {
+			return
+		}
+	}
+	io.Copy(io.Discard, conn)
+}
+
+func newCourier(t *testing.T) *courier.Courier {
+	t.Helper()
+	c, err := courier.New(courier.Settings{Matches: func(sent, received http.Header) bool {
+		return received.Get(headID) == sent.Get(headID)
+	}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(c.Close)
+
+	return c
+}
+
+func do(ctx context.Context, c *courier.Courier, addr string) (string, error) {
+	r, err := c.Do(ctx, addr, &courier.Request{
+		Method: http.MethodPost, Target: "/a%2Fb?q=1", Host: "h", Header: http.Header{headID: {"a"}}, Body: []byte("body"),
+	})
+	if err != nil {
+		return "", err
+	}
+	body, err := io.ReadAll(r.Body)
+
+	return string(body), err
+}
+
+// Guards against an answer that is mixed with another, or that looks whole
+// although it is not.
+func TestResponses(t *testing.T) {
+	for name, test := range map[string]struct {
+		script string
+		want   string
+		fails  bool
+	}{
+		"whole":               {ok, "ok", false},
+		"interim":             {"HTTP/1.1 100 Continue\r\n\r\n" + ok, "ok", false},
+		"after a stray one":   {"HTTP/1.1 200 OK\r\nId: z\r\nContent-Length: 3\r\n\r\nbad" + ok, "ok", false},
+		"only a stray one":    {"HTTP/1.1 200 OK\r\nId: z\r\nContent-Length: 3\r\n\r\nbad!", "", true},
+		"unframed":            {"HTTP/1.1 200 OK\r\nId: a\r\n\r\nall!", "all", false},
+		"unframed stray":      {"HTTP/1.1 200 OK\r\nId: z\r\n\r\nall!", "", true},
+		"short":               {"HTTP/1.1 200 OK\r\nId: a\r\nContent-Length: 9\r\n\r\nok!", "ok", true},
+		"short chunks":        {"HTTP/1.1 200 OK\r\nId: a\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n!", "ok", true},
+		"unframed and reset":  {"HTTP/1.1 200 OK\r\nId: a\r\n\r\nall?", "", true},
+		"no response":         {"garbage\r\n\r\n!", "", true},
+		"closed without word": {"!", "", true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := serve(t, test.script)
+			got, err := do(t.Context(), newCourier(t), s.Addr().String())
+			if (err != nil) != test.fails {
+				t.Errorf("error: got %v, want one: %v", err, test.fails)
+			}
+			if errors.Is(err, courier.ErrNotSent) {
+				t.Errorf("error: got %v, want one that may have run", err)
+			}
+			if !test.fails && got != test.want {
+				t.Errorf("body: got %q, want %q", got, test.want)
+			}
+			if got, want := <-s.requests, "POST /a%2Fb?q=1 h body"; got != want {
+				t.Errorf("request at the server: got %q, want %q", got, want)
+			}
+		})
+	}
+}
+
+// Guards against a request on a connection that holds bytes of no request, or
+// that its server has closed.
+func TestConnectionsKept(t *testing.T) {
+	for name, test := range map[string]struct {
+		first string
+		conns int64
+	}{
+		"kept":             {ok, 1},
+		"bytes after it":   {ok + "HTTP/1.1 200 OK\r\nId: a\r\nContent-Length: 3\r\n\r\nbad", 2},
+		"announced close":  {"HTTP/1.1 200 OK\r\nId: a\r\nConnection: close\r\nContent-Length: 2\r\n\r\nok", 2},
+		"closed":           {ok + "!", 2},
+		"short keep-alive": {"HTTP/1.1 200 OK\r\nId: a\r\nKeep-Alive: timeout=1\r\nContent-Length: 2\r\n\r\nok", 2},
+		"long keep-alive":  {"HTTP/1.1 200 OK\r\nId: a\r\nKeep-Alive: timeout=60\r\nContent-Length: 2\r\n\r\nok", 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := serve(t, test.first, ok)
+			c := newCourier(t)
+			for i := range 2 {
+				if got, err := do(t.Context(), c, s.Addr().String()); got != "ok" || err != nil {
+					t.Fatalf("request %d: got %q, %v, want ok", i, got, err)
+				}
+				if i == 0 && strings.HasSuffix(test.first, "!") {
+					waitClosed(t, s)
+				}
+			}
+			if got := c.Opened(); got != uint64(test.conns) {
+				t.Errorf("connections: got %d, want %d", got, test.conns)
+			}
+		})
+	}
+}
+
+// waitClosed returns once the server has closed its first connection: it handles
+// one at a time.
+func waitClosed(t *testing.T, s *server) {
+	t.Helper()
+	probe, err := (&net.Dialer{}).DialContext(t.Context(), "tcp", s.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer probe.Close()
+	io.WriteString(probe, "end\r\n\r\n")
+	io.Copy(io.Discard, probe)
+}
+
+// Guards against a request that is said not to have run although it was sent, and
+// against one that is taken for sent although its server was not reached.
+func TestNotSent(t *testing.T) {
+	s := serve(t)
+	addr := s.Addr().String()
+	s.Close()
+	_, err := do(t.Context(), newCourier(t), addr)
+	if !errors.Is(err, courier.ErrNotSent) {
+		t.Errorf("closed port: got %v, want ErrNotSent", err)
+	}
+}
+
+// Guards against a server that works on for a caller who has left.
+func TestCancel(t *testing.T) {
+	s := serve(t, "HTTP/1.1 200 OK\r\nId: a\r\nContent-Length: 9\r\n\r\npart")
+	gone := errors.New("gone")
+	ctx, cancel := context.WithCancelCause(t.Context())
+	c := newCourier(t)
+	r, err := c.Do(ctx, s.Addr().String(), &courier.Request{
+		Method: http.MethodGet, Target: "/", Host: "h", Header: http.Header{headID: {"a"}},
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	cancel(gone)
+	done := make(chan error, 1)
+	go func() {
+		_, err := io.ReadAll(r.Body)
+		done <- err
+	}()
+	limit := time.NewTimer(5 * time.Second)
+	defer limit.Stop()
+	select {
+	case err := <-done:
+		if err == nil {
+			t.Error("read after the end of the context: got no error, want one")
+		}
+	case <-limit.C:
+		t.Error("read after the end of the context: got none, want one in 5 s")
+	}
+}
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -93,8 +93,7 @@
 	switch {
 	case kept != nil:
 		f.pass(kept)
-	case e == endRefused && f.sends == 1:
-		// Nothing but a refusal: an earlier send that broke may have run.
+	case !f.ran:
 		f.refuse("server refused", f.g.s.Return)
 	case e == endDue:
 		f.fail(http.StatusGatewayTimeout, "no answer in time")
@@ -124,8 +123,10 @@
 	if f.g.s.Dialect.Leaving(r.Header) {
 		f.g.s.Placer.Leave(s.ID)
 	}
+	refused := f.g.s.Dialect.Refused(r.Status, r.Header)
+	f.ran = f.ran || !refused
 	switch {
-	case f.g.s.Dialect.Refused(r.Status, r.Header):
+	case refused:
 		f.g.s.Placer.Failed(f.g.s.Timer.Now(), s.ID)
 
 		return endRefused
@@ -143,6 +144,8 @@
 	unsent := errors.Is(err, courier.ErrNotSent)
 	switch {
 	case errors.Is(err, errDue) && !unsent:
+		f.ran = true
+
 		return endDue
 	case f.ctx.Err() != nil && !errors.Is(err, errDue):
 		return endGone
@@ -152,6 +155,7 @@
 		return endUnsent
 	}
 	f.sent(s)
+	f.ran = true
 
 	return endBroken
 }
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -33,6 +33,8 @@
 	due     time.Time
 	// sends counts the servers that the request was sent to.
 	sends int
+	// ran tells that a send may have run.
+	ran   bool
 	avoid []string
 }
 
--- /dev/null
+++ b/internal/gateway/rig_test.go
@@ -0,0 +1,264 @@
+package gateway_test
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/damasklever/damasklever/internal/borrower"
+	"github.com/damasklever/damasklever/internal/courier"
+	"github.com/damasklever/damasklever/internal/gateway"
+	"github.com/damasklever/damasklever/internal/placer"
+	"github.com/damasklever/damasklever/internal/planner"
+	"github.com/damasklever/damasklever/internal/timer"
+	"github.com/damasklever/damasklever/internal/wire"
+)
+
+// dialect is a small one of the tests.
+type dialect struct{}
+
+func (dialect) Hints(h http.Header) (gateway.Hints, error) {
+	out := gateway.Hints{ID: h.Get("Id"), Last: h.Get("Last")}
+	if out.ID == "" {
+		return out, errors.New("the header Id is missing")
+	}
+	out.Prompt, _ = strconv.Atoi(h.Get("Prompt"))
+	if ms, _ := strconv.Atoi(h.Get("Wait")); ms > 0 {
+		out.Wait = time.Duration(ms) * time.Millisecond
+	}
+
+	return out, nil
+}
+
+func (dialect) Header(caller http.Header, s gateway.Send) http.Header {
+	h := gateway.EndToEnd(caller)
+	h.Set("Server", s.Server)
+	h.Set("Left", strconv.FormatInt(s.Left.Milliseconds(), 10))
+	h.Set("Last", s.Last)
+	if s.Prefill {
+		h.Set("Stage", "prefill")
+	}
+	if s.Handle != "" {
+		h.Set("Source", s.Source+"/"+s.Handle)
+	}
+
+	return h
+}
+
+func (dialect) Refused(_ int, h http.Header) bool  { return h.Get("Refused") != "" }
+func (dialect) Leaving(http.Header) bool           { return false }
+func (dialect) Handle(body []byte) (string, error) { return string(body), nil }
+
+func (dialect) Free(_ *placer.Server, handle string) *courier.Request {
+	return &courier.Request{Method: http.MethodDelete, Target: "/free/" + handle, Host: "h"}
+}
+
+// backend is a backend server whose answers a test scripts.
+type backend struct {
+	*httptest.Server
+	id      string
+	mu      sync.Mutex
+	handler http.HandlerFunc
+	seen    []string // what arrived: method, target and the headers that matter
+}
+
+func newBackend(t *testing.T, id string, handler http.HandlerFunc) *backend {
+	t.Helper()
+	b := &backend{id: id, handler: handler}
+	b.Server = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		b.mu.Lock()
+		b.seen = append(b.seen, strings.TrimSpace(fmt.Sprint(r.Method, " ", r.RequestURI, " ", r.Header.Get("Stage"),
+			r.Header.Get("Source"), r.Header.Get("Last"))))
+		b.mu.Unlock()
+		w.Header().Set("Proof", "of "+id)
+		b.handler(w, r)
+	}))
+	t.Cleanup(b.Close)
+
+	return b
+}
+
+func (b *backend) arrivals() []string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+
+	return append([]string(nil), b.seen...)
+}
+
+func (b *backend) server(stage placer.Stage) placer.Server {
+	return placer.Server{
+		ID: b.id, Addr: b.Listener.Addr().String(), Pool: "pool", Centre: "c", Region: "r", Stage: stage,
+	}
+}
+
+type rig struct {
+	gateway *gateway.Gateway
+	placer  *placer.Placer
+	plan    *planner.Planner
+	mu      sync.Mutex
+}
+
+// plan has one path of each nature, under its name.
+func standardPlan() *wire.Plan {
+	p := &wire.Plan{Version: 1, Pools: []*wire.Pool{{Name: "pool"}}}
+	for name, nature := range map[string]wire.Nature{
+		"once": wire.Nature_NATURE_ONCE, "read": wire.Nature_NATURE_IDEMPOTENT,
+		"stream": wire.Nature_NATURE_STREAM, "resume": wire.Nature_NATURE_STREAM,
+	} {
+		p.Paths = append(p.Paths, &wire.Path{
+			Name: name, Host: "h", Prefix: "/" + name + "/", Nature: nature, Timeout: 5000, Target: 1000, Attempts: 2,
+			Shares: []*wire.Share{{Pool: "pool", Weight: 1}}, Resume: name == "resume",
+		})
+	}
+
+	return p
+}
+
+func newRig(t *testing.T, lenders gateway.Lenders, servers ...placer.Server) *rig {
+	t.Helper()
+	clock := timer.New()
+	t.Cleanup(clock.Close)
+	r := &rig{plan: planner.New(standardPlan())}
+	var err error
+	// The draws make the first server of equal ones the choice.
+	if r.placer, err = placer.New(placer.Settings{Centre: "c", Region: "r", Draw: func() float64 { return 0.99 }}); err != nil {
+		t.Fatal(err)
+	}
+	r.placer.SetServers(servers)
+	c, err := courier.New(courier.Settings{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(c.Close)
+	r.gateway, err = gateway.New(gateway.Settings{
+		Listen: "127.0.0.1:0", Dialect: dialect{}, Placer: r.placer, Courier: c, Timer: clock, Lenders: lenders,
+		Plan: func() *planner.Planner {
+			r.mu.Lock()
+			defer r.mu.Unlock()
+
+			return r.plan
+		},
+	}, prometheus.NewRegistry())
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := r.gateway.Start(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(r.gateway.Close)
+
+	return r
+}
+
+func (r *rig) setPlan(p *planner.Planner) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.plan = p
+}
+
+// result is what a caller sees.
+type result struct {
+	status int
+	header http.Header
+	body   string
+	broken bool // the answer ended early
+	closes bool // the connection ends after it
+}
+
+func (r *rig) call(t *testing.T, method, path, body string, header http.Header) result {
+	t.Helper()
+	conn, err := (&net.Dialer{}).DialContext(t.Context(), "tcp", r.gateway.Addr())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+
+	return exchange(t, conn, method, path, body, header)
+}
+
+func exchange(t *testing.T, conn net.Conn, method, path, body string, header http.Header) result {
+	t.Helper()
+	request, err := http.NewRequestWithContext(context.Background(), method, "http://h"+path, strings.NewReader(body))
+	if err != nil {
+		t.Fatal(err)
+	}
+	request.Header = http.Header{"Id": {"r1"}}
+	for name, values := range header {
+		request.Header[name] = values
+	}
+	if err := request.Write(conn); err != nil {
+		t.Fatal(err)
+	}
+	response, err := http.ReadResponse(bufio.NewReader(conn), request)
+	if err != nil {
+		return result{broken: true}
+	}
+	defer response.Body.Close()
+	text, err := io.ReadAll(response.Body)
+
+	return result{status: response.StatusCode, header: response.Header, body: string(text), broken: err != nil, closes: response.Close}
+}
+
+// answering returns a handler with one answer.
+func answering(status int, body string) http.HandlerFunc {
+	return func(w http.ResponseWriter, _ *http.Request) {
+		w.WriteHeader(status)
+		io.WriteString(w, body)
+	}
+}
+
+// refusing says that the request has not run.
+func refusing(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Refused", "1")
+	w.WriteHeader(http.StatusServiceUnavailable)
+}
+
+// breaking resets the connection after it has read the request.
+func breaking(w http.ResponseWriter, _ *http.Request) {
+	conn, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		panic(err)
+	}
+	conn.Close()
+}
+
+// lenders is a fake of the lenders that grants what the test allows.
+type lenders struct {
+	mu       sync.Mutex
+	asks     []borrower.Ask
+	refuse   func(a borrower.Ask) error
+	released int
+}
+
+func (l *lenders) Load(string) (borrower.Load, bool) {
+	return borrower.Load{Total: 100000, Free: 100000}, true
+}
+
+func (l *lenders) Ask(_ context.Context, a borrower.Ask, servers []string) (*borrower.Grant, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.asks = append(l.asks, a)
+	if l.refuse != nil {
+		if err := l.refuse(a); err != nil {
+			return nil, err
+		}
+	}
+
+	return borrower.NewGrant(servers[0], func() {
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		l.released++
+	}), nil
+}
--- a/internal/lender/lender.go
+++ b/internal/lender/lender.go
@@ -42,12 +42,14 @@
 	mu      sync.Mutex
 	granter *granter.Granter // nil before the first report
 	report  Report
+	lent    Phase     // work that the granter is for
 	heard   time.Time // last report
 	down    bool
 	looking bool
 	leaving bool // this process is shutting down
 	clients map[string]*client
-	granted map[string]string // entry by grant
+	granted map[string]string      // entry by grant
+	waiting map[string]granter.Ask // asks without a decision
 }
 
 // New checks the settings; Start accepts entries.
@@ -60,7 +62,8 @@
 
 	return &Lender{
 		s: s, ctx: ctx, cancel: cancel, done: make(chan struct{}), clients: make(map[string]*client),
-		granted: make(map[string]string), epoch: rand.Uint64(), down: true, //nolint:gosec // no secret
+		granted: make(map[string]string), waiting: make(map[string]granter.Ask),
+		epoch: rand.Uint64(), down: true, //nolint:gosec // no secret
 	}, nil
 }
 
@@ -138,12 +141,14 @@
 		return
 	}
 	now := l.s.Timer.Now()
-	l.deliver(l.granter.Ask(now, granter.Ask{
+	ask := granter.Ask{
 		ID: a.GetId(), Entry: c.name, Caller: a.GetCaller(), Service: a.GetService(), Rank: int(a.GetRank()),
 		Due:    now.Add(time.Duration(a.GetDue()) * time.Millisecond),
 		Pieces: int(a.GetPieces()+int64(l.s.Block)-1) / l.s.Block,
 		Cost:   time.Duration(a.GetCost()) * time.Microsecond,
-	}))
+	}
+	l.waiting[ask.ID] = ask
+	l.deliver(l.granter.Ask(now, ask))
 }
 
 // unfit tells why work of a phase cannot be lent for, or "". It needs the lock.
@@ -175,6 +180,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	delete(l.granted, id)
+	delete(l.waiting, id)
 	if l.granter != nil {
 		l.deliver(l.granter.Withdraw(l.s.Timer.Now(), id))
 	}
@@ -204,6 +210,7 @@
 func (l *Lender) deliver(decisions []granter.Decision) {
 	for _, d := range decisions {
 		c := l.clients[d.Entry]
+		delete(l.waiting, d.ID)
 		if d.Kind == granter.Granted {
 			l.granted[d.ID] = d.Entry
 		} else {
--- a/internal/lender/watch.go
+++ b/internal/lender/watch.go
@@ -58,9 +58,13 @@
 }
 
 // begin lends a server that has started or changed its work. What was lent of the
-// one before is gone with it. It needs the lock.
+// one before is gone with it; what waited for it waits on, unless the work is
+// another. It needs the lock.
 func (l *Lender) begin(now time.Time) {
-	l.drop(now)
+	if l.report.Phase != l.lent {
+		l.drop(now)
+	}
+	l.lent = l.report.Phase
 	g, err := granter.New(l.granterSettings())
 	if err != nil {
 		l.s.Log.Error().Err(err).Msg("server cannot be lent")
@@ -70,6 +74,9 @@
 	}
 	l.granter, l.down = g, false
 	clear(l.granted)
+	for _, ask := range l.waiting {
+		l.deliver(l.granter.Ask(now, ask))
+	}
 	l.s.Log.Info().Str("phase", string(l.report.Phase)).Int("total", l.report.Total).
 		Int64("born", l.report.Born).Msg("server found")
 	l.pushAll(now, true)
--- /dev/null
+++ b/internal/placer/placer_test.go
@@ -0,0 +1,163 @@
+package placer_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/damasklever/damasklever/internal/placer"
+)
+
+var start = time.Unix(1000, 0)
+
+func newPlacer(t *testing.T, list ...placer.Server) *placer.Placer {
+	t.Helper()
+	p, err := placer.New(placer.Settings{Centre: "c1", Region: "r1", Draw: func() float64 { return 0.99 }})
+	if err != nil {
+		t.Fatal(err)
+	}
+	p.SetServers(list)
+
+	return p
+}
+
+func server(id, centre, region string, stage placer.Stage) placer.Server {
+	return placer.Server{ID: id, Addr: id + ":1", Pool: "p", Centre: centre, Region: region, Stage: stage}
+}
+
+func pickPlain(t *testing.T, p *placer.Placer, q placer.Query) string {
+	t.Helper()
+	c, ok := p.PickPlain(start, q)
+	if !ok {
+		return ""
+	}
+
+	return c.Server.ID
+}
+
+// Guards against calls that cross regions while there is room nearby, and that
+// pile up nearby while there is room elsewhere.
+func TestPickPlainSpreads(t *testing.T) {
+	p := newPlacer(t, server("far", "c9", "r9", placer.Plain), server("own", "c1", "r1", placer.Plain))
+	got := ""
+	for range 4 {
+		got += pickPlain(t, p, placer.Query{Pool: "p"}) + " "
+	}
+	if want := "own own own far "; got != want {
+		t.Errorf("servers of calls that run at the same time: got %q, want %q", got, want)
+	}
+	p.Done("own")
+	p.Done("own")
+	p.Done("own")
+	if got, want := pickPlain(t, p, placer.Query{Pool: "p"}), "own"; got != want {
+		t.Errorf("server after the calls have ended: got %q, want %q", got, want)
+	}
+}
+
+// Guards against work for a server that is leaving, failed, was tried or serves
+// another pool.
+func TestPickPlainAvoids(t *testing.T) {
+	leaving := server("own", "c1", "r1", placer.Plain)
+	leaving.Leaving = true
+	other := server("own", "c1", "r1", placer.Plain)
+	other.Pool = "q"
+	own := server("own", "c1", "r1", placer.Plain)
+	for name, test := range map[string]struct {
+		own  placer.Server
+		prep func(p *placer.Placer)
+		q    placer.Query
+		want string
+	}{
+		"sound":      {own, nil, placer.Query{Pool: "p"}, "own"},
+		"leaving":    {leaving, nil, placer.Query{Pool: "p"}, "far"},
+		"said so":    {own, func(p *placer.Placer) { p.Leave("own") }, placer.Query{Pool: "p"}, "far"},
+		"failed":     {own, func(p *placer.Placer) { p.Failed(start, "own") }, placer.Query{Pool: "p"}, "far"},
+		"tried":      {own, nil, placer.Query{Pool: "p", Avoid: []string{"own"}}, "far"},
+		"all tried":  {own, nil, placer.Query{Pool: "p", Avoid: []string{"own", "far"}}, ""},
+		"other pool": {other, nil, placer.Query{Pool: "p"}, "far"},
+		"well again": {own, func(p *placer.Placer) { p.Failed(start, "own"); p.Succeeded("own") }, placer.Query{Pool: "p"}, "own"},
+		"all failed": {own, func(p *placer.Placer) { p.Failed(start, "own"); p.Failed(start, "far") }, placer.Query{Pool: "p"}, "own"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			p := newPlacer(t, test.own, server("far", "c9", "r9", placer.Plain))
+			if test.prep != nil {
+				test.prep(p)
+			}
+			if got := pickPlain(t, p, test.q); got != test.want {
+				t.Errorf("server: got %q, want %q", got, test.want)
+			}
+		})
+	}
+}
+
+// Guards against a server that fails again and again and gets a request each
+// time, and against one that is avoided for ever.
+func TestPenaltyDoubles(t *testing.T) {
+	p := newPlacer(t, server("own", "c1", "r1", placer.Plain))
+	var got []time.Duration
+	for range 6 {
+		got = append(got, p.Failed(start, "own"))
+	}
+	for i, want := range []time.Duration{250, 500, 1000, 2000, 4000, 4000} {
+		if got[i] != want*time.Millisecond {
+			t.Errorf("failure %d: got %v, want %v", i+1, got[i], want*time.Millisecond)
+		}
+	}
+}
+
+// Guards against a prompt that is read far from where its answer is made, and
+// against requests at a server without room while another has some.
+func TestRank(t *testing.T) {
+	near, far := server("near", "c1", "r1", placer.Decode), server("far", "c9", "r9", placer.Decode)
+	for name, test := range map[string]struct {
+		near, far placer.Lent
+		known     bool // the lender of near
+		want      string
+	}{
+		"both free":      {placer.Lent{Total: 100, Free: 100}, placer.Lent{Total: 100, Free: 100}, true, "near"},
+		"near full":      {placer.Lent{Total: 100, Free: 5, Wait: time.Second}, placer.Lent{Total: 100, Free: 100}, true, "far"},
+		"both full":      {placer.Lent{Total: 100, Wait: time.Second}, placer.Lent{Total: 100, Wait: 2 * time.Second}, true, "near"},
+		"near leaving":   {placer.Lent{Total: 100, Free: 100, Leaving: true}, placer.Lent{Total: 100, Free: 100}, true, "far"},
+		"near not known": {placer.Lent{}, placer.Lent{Total: 100, Free: 100}, false, "far"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			p := newPlacer(t, far, near)
+			list := p.Rank(start, placer.Query{Pool: "p"}, placer.Decode, 10, nil, func(id string) (placer.Lent, bool) {
+				if id == "near" {
+					return test.near, test.known
+				}
+
+				return test.far, true
+			})
+			if len(list) == 0 || list[0].Server.ID != test.want {
+				t.Errorf("best server: got %v, want %q", list, test.want)
+			}
+		})
+	}
+}
+
+// Guards against a transfer between regions while a prefill server stands beside
+// the decode server, although the entry is nearer to another.
+func TestRankPrefillByTransfer(t *testing.T) {
+	decode := server("decode", "c9", "r9", placer.Decode)
+	p := newPlacer(t, server("mine", "c1", "r1", placer.Prefill), server("its", "c9", "r9", placer.Prefill))
+	free := func(string) (placer.Lent, bool) { return placer.Lent{Total: 2, Free: 2}, true }
+	list := p.Rank(start, placer.Query{Pool: "p"}, placer.Prefill, 1, &decode, free)
+	if got, want := list[0].Server.ID, "its"; got != want {
+		t.Errorf("prefill server: got %q, want %q", got, want)
+	}
+}
+
+// Guards against prompts that are read apart without need, and against long waits
+// at a decode server while a prefill server is idle, where there are no lenders.
+func TestPickStream(t *testing.T) {
+	p := newPlacer(t, server("pre", "c1", "r1", placer.Prefill), server("dec", "c1", "r1", placer.Decode))
+	q := placer.Query{Pool: "p", Prompt: 500}
+	first, _ := p.PickStream(start, q)
+	if first.Prefill != nil {
+		t.Errorf("a short prompt on idle servers: got prefill at %s, want none", first.Prefill.ID)
+	}
+	long, _ := p.PickStream(start, placer.Query{Pool: "p", Prompt: 8000})
+	if long.Prefill == nil {
+		t.Error("a long prompt behind another: got no prefill server, want one")
+	}
+}
