Read a prompt again where its memory is when it is gone before the transfer

It now reads the prompt at the same server, and the prefill server whose prompts lapse is left alone for a while. Ruled out: no room (the grants were there).

--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -343,3 +343,28 @@
 		t.Errorf("asks: got %+v, want a second one of a lower rank that is due later", l.asks)
 	}
 }
+
+// Guards against a request that is given up, or read in vain again elsewhere,
+// because the prompt that another server has read is gone when it is fetched.
+func TestStreamReadsAgainWherePromptIsGone(t *testing.T) {
+	dec := newBackend(t, "dec", func(w http.ResponseWriter, r *http.Request) {
+		if r.Header.Get("Source") != "" {
+			refusing(w, r)
+
+			return
+		}
+		events(1, 1, true)(w, r)
+	})
+	pre := newBackend(t, "pre", answering(http.StatusOK, "handle"))
+	r := newRig(t, &lenders{}, dec.server(placer.Decode), pre.server(placer.Prefill))
+	for i, want := range []int{2, 3} {
+		got := r.call(t, http.MethodPost, "/stream/x", "prompt", http.Header{"Prompt": {"5000"}})
+		if got.body != event1 {
+			t.Errorf("request %d: got %d %q, want %q", i, got.status, got.body, event1)
+		}
+		// The second request does not trust the prefill server any more.
+		if got := len(dec.arrivals()); got != want {
+			t.Errorf("arrivals after request %d: got %d, want %d", i, got, want)
+		}
+	}
+}
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"net/url"
+	"slices"
 	"strings"
 	"time"
 
@@ -154,8 +155,12 @@
 	}
 }
 
-// sent counts a send that reached its server.
+// sent counts a send that reached its server. A second one to the same server
+// counts as one.
 func (f *flight) sent(s *placer.Server) {
+	if slices.Contains(f.avoid, s.ID) {
+		return
+	}
 	f.sends++
 	f.avoid = append(f.avoid, s.ID)
 }
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -102,6 +102,25 @@
 
 		return nil, f.ended(), context.Cause(f.ctx)
 	}
+	got, e, err := f.decode(c, send, out)
+	if e == endRefused && send.Handle != "" {
+		// Most likely the prompt was gone before it was fetched: prompts that wait at
+		// that server are not safe, and this one is read where its memory is.
+		f.free(c.Prefill, send.Handle)
+		f.g.s.Placer.Failed(f.g.s.Timer.Now(), c.Prefill.ID)
+		if f.ctx.Err() == nil && f.left() > minLeft && f.g.repeat(f.pool) {
+			f.note(c, f.begun, e, nil)
+			send.Source, send.Handle = "", ""
+
+			return f.decode(c, send, out)
+		}
+	}
+
+	return got, e, err
+}
+
+// decode sends the request to its decode server and passes the events on.
+func (f *flight) decode(c placer.Choice, send Send, out *events) (*answer, end, error) {
 	response, err := f.g.s.Courier.Do(f.ctx, c.Server.Addr, f.request(send))
 	if err != nil {
 		f.free(c.Prefill, send.Handle)
@@ -111,9 +130,6 @@
 	defer func() { _ = response.Body.Close() }()
 	f.sent(c.Server)
 	e := f.judge(c.Server, response)
-	if e == endRefused {
-		f.free(c.Prefill, send.Handle)
-	}
 	if response.Status != http.StatusOK {
 		body, err := readAll(response)
 		if err != nil {
@@ -125,6 +141,9 @@
 	if err := out.copy(response); err != nil {
 		return nil, f.torn(c.Server, err), err
 	}
+	if send.Handle != "" {
+		f.g.s.Placer.Succeeded(c.Prefill.ID)
+	}
 	f.finish("streamed", response.Status, nil)
 
 	return nil, endAnswered, nil
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -268,7 +268,9 @@
 	defer p.mu.Unlock()
 	var out []Candidate
 	for _, st := range p.pools[q.Pool] {
-		if st.Leaving || st.Stage != stage || slices.Contains(q.Avoid, st.ID) {
+		// A request can do without a prefill server, but not without a decode server.
+		trusted := stage != Prefill || !st.avoid.After(now)
+		if st.Leaving || st.Stage != stage || !trusted || slices.Contains(q.Avoid, st.ID) {
 			continue
 		}
 		l, ok := lent(st.ID)
@@ -310,7 +312,6 @@
 	if st == nil {
 		return
 	}
-	st.failures = 0
 	if st.running <= 1 {
 		st.reads = now
 	}
