--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -83,7 +83,38 @@
 func (g *Gateway) Done() <-chan struct{} { return g.done }
 
 // Ready tells whether callers can be served.
-func (g *Gateway) Ready() bool { return !g.leaving.Load() && g.s.Plan() != nil }
+func (g *Gateway) Ready() bool { return !g.leaving.Load() && g.prepared() }
+
+// prepared tells whether there is a plan and a list of servers.
+func (g *Gateway) prepared() bool { return g.s.Plan() != nil && g.s.Known() }
+
+// startupLook is the time between two looks while requests wait for the first
+// plan.
+const startupLook = 10 * time.Millisecond
+
+// prepare waits for the first plan and list of servers, for a bounded time.
+func (g *Gateway) prepare(ctx context.Context) {
+	if g.prepared() {
+		return
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	defer g.s.Timer.After(g.s.Startup, func(time.Time) { cancel() })()
+	look := make(chan struct{}, 1)
+	defer g.s.Timer.Every(startupLook, func(time.Time) {
+		select {
+		case look <- struct{}{}:
+		default:
+		}
+	})()
+	for !g.prepared() {
+		select {
+		case <-look:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
 
 // Active returns the number of requests in flight.
 func (g *Gateway) Active() int64 { return g.active.Load() }
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"net/http"
+	"runtime"
 	"slices"
 	"strings"
 	"testing"
@@ -368,3 +369,20 @@
 		}
 	}
 }
+
+// Guards against a caller that is refused twice while the first plan is on its
+// way, after a restart of everything.
+func TestWaitsForFirstPlan(t *testing.T) {
+	a := newBackend(t, "a", answering(http.StatusOK, "good"))
+	r := newRig(t, nil, a.server(placer.Plain))
+	r.setPlan(nil)
+	answer := make(chan result, 1)
+	go func() { answer <- r.call(t, http.MethodGet, "/read/", "", nil) }()
+	for r.gateway.Active() == 0 {
+		runtime.Gosched()
+	}
+	r.setPlan(planner.New(standardPlan()))
+	if got := <-answer; got.body != "good" {
+		t.Errorf("answer: got %d %q, want the server's", got.status, got.body)
+	}
+}
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -76,6 +76,7 @@
 
 		return false
 	}
+	f.g.prepare(f.r.Context())
 	plan := f.g.s.Plan()
 	if plan == nil {
 		f.refuse("no plan yet", f.g.s.Return)
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -21,7 +21,9 @@
 	// Dialect translates headers.
 	Dialect Dialect
 	// Plan returns the plan in force, nil before the first one.
-	Plan    func() *planner.Planner
+	Plan func() *planner.Planner
+	// Known tells whether the servers are known; nil if they always are.
+	Known   func() bool
 	Placer  *placer.Placer
 	Courier *courier.Courier
 	// Lenders lend the memory of model servers; nil if there are none.
@@ -35,6 +37,10 @@
 	Repeats float64
 	Spare   float64
 	Window  time.Duration
+	// Startup is how long a request waits for the first plan and the first servers:
+	// after a restart of everything they are there as soon as a leader is elected,
+	// and callers come back only once.
+	Startup time.Duration
 	// Return is when callers may come back after a refusal because no server has
 	// room.
 	Return time.Duration
@@ -55,7 +61,9 @@
 	defaultSpare  = 4
 	defaultWindow = 10 * time.Second
 	defaultReturn = 200 * time.Millisecond
-	defaultStall  = 10 * time.Second
+	// defaultStartup covers an election and a connection to a control host.
+	defaultStartup = 1500 * time.Millisecond
+	defaultStall   = 10 * time.Second
 	// defaultGrowth keeps ten answers, whose lengths vary, within the memory of a
 	// server in all but one of some hundred cases.
 	defaultGrowth = 0.5
@@ -70,6 +78,10 @@
 	fill(&s.Spare, defaultSpare)
 	fill(&s.Window, defaultWindow)
 	fill(&s.Return, defaultReturn)
+	fill(&s.Startup, defaultStartup)
+	if s.Known == nil {
+		s.Known = func() bool { return true }
+	}
 	fill(&s.Stall, defaultStall)
 	fill(&s.Growth, defaultGrowth)
 	fill(&s.Step, defaultStep)
