--- a/internal/lender/settings.go
+++ b/internal/lender/settings.go
@@ -55,6 +55,9 @@
 	// Floor is the percent of the server that each rank but the most urgent keeps
 	// under load.
 	Floor int
+	// Headroom is the percent of a decode server's memory that is kept free for more
+	// urgent ranks which asked lately.
+	Headroom int
 	// Lease ends the grants of an entry that is silent for so long.
 	Lease time.Duration
 	// Look is the time between two reports, and Lost how long they may fail before
@@ -70,9 +73,13 @@
 	// defaultRanks leaves room for requests that are late below those in time.
 	defaultRanks = 10
 	defaultFloor = 3
-	defaultLease = 2 * time.Second
-	defaultLook  = 250 * time.Millisecond
-	defaultLost  = 700 * time.Millisecond
+	// defaultHeadroom is two requests: while a server is full, memory comes free
+	// about three times a second, too late for an urgent request that needs some at
+	// once.
+	defaultHeadroom = 18
+	defaultLease    = 2 * time.Second
+	defaultLook     = 250 * time.Millisecond
+	defaultLost     = 700 * time.Millisecond
 	// defaultPush bounds the traffic between regions to a few hundred bytes a second
 	// for each entry.
 	defaultPush  = 150 * time.Millisecond
@@ -85,6 +92,7 @@
 	fill(&s.Readers, defaultReaders)
 	fill(&s.Ranks, defaultRanks)
 	fill(&s.Floor, defaultFloor)
+	fill(&s.Headroom, defaultHeadroom)
 	fill(&s.Lease, defaultLease)
 	fill(&s.Look, defaultLook)
 	fill(&s.Lost, defaultLost)
--- a/internal/lender/watch.go
+++ b/internal/lender/watch.go
@@ -105,7 +105,7 @@
 		}
 		s.Ranks = append(s.Ranks, granter.Rank{Floor: floor, Share: wholeShare})
 	}
-	s.Lease = l.s.Lease
+	s.Lease, s.Headroom = l.s.Lease, l.s.Headroom
 	if l.report.Phase == Prefill {
 		s.Headroom = 0
 		s.Slots, s.Serial = l.s.Readers, true
