Ask all servers while they are crowded, and trust no estimate alone

Now up to eight servers are asked while those with room are few, the entry itself ends the wait at the time from which the answer would be late, and refuses before the caller gives up. Ruled out: memory held by late work (headroom was free of it).

--- a/internal/gateway/reserve.go
+++ b/internal/gateway/reserve.go
@@ -20,10 +20,13 @@
 const (
 	// decodeAsks and prefillAsks are the servers asked at a time: the load that an
 	// entry knows is a little old, so the second one is the better choice now and
-	// then. All are asked while none has room.
+	// then. Up to crowdedAsks are asked while these have no room to spare.
 	decodeAsks  = 2
-	crowdedAsks = 4
+	crowdedAsks = 8
 	prefillAsks = 2
+	// spareRoom is how many such requests a server must have room for to be sure of
+	// some: other entries ask for it at the same time.
+	spareRoom = 2
 	// lateRanks is added to the rank of a request that can no longer be in time, so
 	// that it takes only what the others leave.
 	lateRanks = 5
@@ -131,44 +134,86 @@
 // borrowDecode asks for memory, first for an answer in time, then for a late one
 // below all that can be in time. It returns the rank that was granted.
 func (f *flight) borrowDecode(candidates []placer.Candidate, need int) (*borrower.Grant, int, error) {
-	asks := decodeAsks
-	if l, _ := f.g.s.Lenders.Load(candidates[0].Server.ID); l.Free < need {
-		asks = crowdedAsks
-	}
-	var servers []string
-	for _, c := range candidates[:min(asks, len(candidates))] {
-		servers = append(servers, c.Server.ID)
-	}
 	a := borrower.Ask{
 		ID: f.hints.ID, Phase: wire.Phase_PHASE_DECODE, Tokens: need, Cost: f.duration(), Service: f.pool, Caller: "-",
 	}
+	servers := f.askable(candidates, need)
 	rank := int(f.path.GetRank())
-	spent := f.g.s.Timer.Now().Sub(f.begun)
 	lead := f.reading() + leadTime
 	target := time.Duration(f.path.GetTarget()) * time.Millisecond
-	var refused *borrower.RefusedError
 	for _, try := range []struct {
 		rank  int
 		limit time.Duration
-	}{{rank, target}, {rank + lateRanks, f.patience()}} {
-		a.Rank, a.Due = try.rank, try.limit-spent-lead
-		if a.Due <= 0 {
+	}{{rank, target}, {rank + lateRanks, f.patience() - answerMargin}} {
+		spent := f.g.s.Timer.Now().Sub(f.begun)
+		wait := try.limit - lead - spent
+		if wait <= 0 {
 			continue
 		}
-		grant, err := f.g.s.Lenders.Ask(f.ctx, a, servers)
+		// The lender only refuses what cannot even be late: its estimate is too rough
+		// to give up a request that may still be in time.
+		a.Rank, a.Due = try.rank, f.patience()-lead-spent
+		grant, err := f.askFor(wait, a, servers)
 		f.noteAsk(a, servers, grant, err)
-		if err == nil {
+		var refused *borrower.RefusedError
+		switch {
+		case err == nil:
 			return grant, try.rank, nil
+		case errors.As(err, &refused):
+			return nil, 0, refused
+		case !errors.Is(err, errLate):
+			return nil, 0, err
 		}
-		if !errors.As(err, &refused) {
-			return nil, 0, err //nolint:wrapcheck // the borrower says what it waited for
+	}
+
+	return nil, 0, &borrower.RefusedError{Reason: "deadline", After: f.comeBack(candidates)}
+}
+
+// errLate ends the wait for a grant that would come too late.
+var errLate = errors.New("the grant would come too late")
+
+// answerMargin is the time before the caller gives up in which a refusal still
+// reaches it, so that it comes back.
+const answerMargin = 300 * time.Millisecond
+
+// askFor asks and gives up after a time.
+func (f *flight) askFor(wait time.Duration, a borrower.Ask, servers []string) (*borrower.Grant, error) {
+	ctx, cancel := context.WithCancelCause(f.ctx)
+	defer cancel(nil)
+	defer f.g.s.Timer.After(wait, func(time.Time) { cancel(errLate) })()
+
+	return f.g.s.Lenders.Ask(ctx, a, servers) //nolint:wrapcheck // the borrower says what it waited for
+}
+
+// askable returns the servers to ask: the best ones while they have room to
+// spare, else all, since the first to have some is not known.
+func (f *flight) askable(candidates []placer.Candidate, need int) []string {
+	asks := decodeAsks
+	for _, c := range candidates[:min(asks, len(candidates))] {
+		if l, _ := f.g.s.Lenders.Load(c.Server.ID); l.Free < spareRoom*need || l.Queued > 0 {
+			asks = crowdedAsks
 		}
 	}
-	if refused == nil {
-		refused = &borrower.RefusedError{Reason: "due"}
+	var servers []string
+	for _, c := range candidates[:min(asks, len(candidates))] {
+		servers = append(servers, c.Server.ID)
+	}
+
+	return servers
+}
+
+// comeBack is when a server is expected to have room.
+func (f *flight) comeBack(candidates []placer.Candidate) time.Duration {
+	var least time.Duration
+	for _, c := range candidates {
+		l, ok := f.g.s.Lenders.Load(c.Server.ID)
+		rank := min(int(f.path.GetRank()), len(l.Waits)-1)
+		if ok && rank >= 0 && (least == 0 || l.Waits[rank] < least) {
+			least = l.Waits[rank]
+		}
 	}
 
-	return nil, 0, refused
+	return least
 }
 
 // patience is how long the caller waits for the first event.
