Keep back the memory of requests that run without a grant

The reports showed 13 runs where 11 grants were out: the lease of a frozen entry ends after 2 s, but its streams run on. The lender now compares the runs of the report with its grants and lends less. Ruled out: answers that outgrow what was reserved (used was below lent where runs and grants agreed). TestForeignRuns.

--- a/internal/borrower/borrower_test.go
+++ b/internal/borrower/borrower_test.go
@@ -251,3 +251,15 @@
 		waitFor(t, "free memory of "+server, func() bool { l, _ := p.borrower.Load(server); return l.Free == l.Total })
 	}
 }
+
+// Guards against memory that is lent although a request without a grant uses it:
+// its entry was frozen for longer than its lease.
+func TestForeignRuns(t *testing.T) {
+	p := newPair(t)
+	p.gauge.set(func(r *lender.Report) { r.Runs = map[string]int{"foreign": 700} }, nil)
+	waitFor(t, "less free memory", func() bool { l, _ := p.borrower.Load("s"); return l.Free <= 500 })
+	g := p.must(t, ask("own", 0, 400, patience))
+	p.gauge.set(func(r *lender.Report) { r.Runs = map[string]int{"own": 400} }, nil)
+	waitFor(t, "all memory but that lent", func() bool { l, _ := p.borrower.Load("s"); return l.Free == 1200 })
+	g.Release()
+}
--- a/internal/lender/lender.go
+++ b/internal/lender/lender.go
@@ -43,6 +43,7 @@
 	granter *granter.Granter // nil before the first report
 	report  Report
 	lent    Phase     // work that the granter is for
+	foreign int       // tokens in use without a grant
 	heard   time.Time // last report
 	down    bool
 	looking bool
--- a/internal/lender/settings.go
+++ b/internal/lender/settings.go
@@ -26,6 +26,8 @@
 	Phase Phase
 	// Total is its memory in tokens.
 	Total int
+	// Runs are the requests that it works on: tokens in memory by request.
+	Runs map[string]int
 	// Born differs for each start of the server.
 	Born    int64
 	Leaving bool
@@ -60,6 +62,8 @@
 	Headroom int
 	// Lease ends the grants of an entry that is silent for so long.
 	Lease time.Duration
+	// Growth is what a request that runs without a grant may still take, in tokens.
+	Growth int
 	// Look is the time between two reports, and Lost how long they may fail before
 	// the server counts as down.
 	Look, Lost time.Duration
@@ -78,8 +82,10 @@
 	// once.
 	defaultHeadroom = 18
 	defaultLease    = 2 * time.Second
-	defaultLook     = 250 * time.Millisecond
-	defaultLost     = 700 * time.Millisecond
+	// defaultGrowth is half of a usual answer.
+	defaultGrowth = 400
+	defaultLook   = 250 * time.Millisecond
+	defaultLost   = 700 * time.Millisecond
 	// defaultPush bounds the traffic between regions to a few hundred bytes a second
 	// for each entry.
 	defaultPush  = 150 * time.Millisecond
@@ -94,6 +100,7 @@
 	fill(&s.Floor, defaultFloor)
 	fill(&s.Headroom, defaultHeadroom)
 	fill(&s.Lease, defaultLease)
+	fill(&s.Growth, defaultGrowth)
 	fill(&s.Look, defaultLook)
 	fill(&s.Lost, defaultLost)
 	fill(&s.Push, defaultPush)
--- a/internal/lender/watch.go
+++ b/internal/lender/watch.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strings"
 	"time"
 
 	"github.com/damasklever/damasklever/internal/granter"
@@ -50,6 +51,7 @@
 	if l.granter == nil || l.down || r.Born != old.Born || r.Phase != old.Phase || r.Total != old.Total {
 		l.begin(now)
 	}
+	l.reserve(now, old)
 	if r.Leaving && !old.Leaving {
 		l.s.Log.Info().Msg("server is leaving")
 		l.deliver(l.granter.Drain(now))
@@ -57,6 +59,37 @@
 	}
 }
 
+// reserve keeps back the memory of requests that run without a grant: their entry
+// was frozen or cut off for longer than its lease, or could not reach this
+// process. A request must be in two reports, since a grant may have been given
+// back after the report was made. It needs the lock.
+func (l *Lender) reserve(now time.Time, old Report) {
+	if l.report.Phase != Decode {
+		return
+	}
+	lent := make(map[string]bool, len(l.granted))
+	for id := range l.granted {
+		request, _, _ := strings.Cut(id, "/")
+		lent[request] = true
+	}
+	foreign := 0
+	for request, tokens := range l.report.Runs {
+		if _, before := old.Runs[request]; before && !lent[request] {
+			foreign += tokens + l.s.Growth
+		}
+	}
+	if foreign == l.foreign {
+		return
+	}
+	l.s.Log.Info().Int("tokens", foreign).Int("before", l.foreign).Msg("memory in use without a grant")
+	l.foreign = foreign
+	decisions, err := l.granter.Configure(now, l.granterSettings())
+	if err != nil {
+		l.s.Log.Error().Err(err).Msg("memory not kept back")
+	}
+	l.deliver(decisions)
+}
+
 // begin lends a server that has started or changed its work. What was lent of the
 // one before is gone with it; what waited for it waits on, unless the work is
 // another. It needs the lock.
@@ -64,7 +97,7 @@
 	if l.report.Phase != l.lent {
 		l.drop(now)
 	}
-	l.lent = l.report.Phase
+	l.lent, l.foreign = l.report.Phase, 0
 	g, err := granter.New(l.granterSettings())
 	if err != nil {
 		l.s.Log.Error().Err(err).Msg("server cannot be lent")
@@ -92,7 +125,7 @@
 // granterSettings makes memory the unit of a decode server, and prompts that of a
 // prefill server, which reads few at a time.
 func (l *Lender) granterSettings() granter.Settings {
-	total := l.report.Total / l.s.Block
+	total := (l.report.Total - l.foreign) / l.s.Block
 	if l.report.Phase == Prefill {
 		total = l.s.Readers
 	}
