--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -50,7 +50,7 @@
 	if g.leaving.Load() {
 		w.Header().Set("Connection", "close")
 	}
-	if !f.read() {
+	if !f.read() { //nolint:contextcheck // it uses the context of the request
 		return
 	}
 	ctx, cancel := context.WithCancelCause(r.Context())
