Leave it to callers to close a connection first

The entry now gives the caller 0.5 s to close after a response with Connection: close, and closes by itself only what it must.

Also: no server to be reached says 0.8 s instead of 0.2 s, and has the host list read again.

--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -85,7 +85,7 @@
 
 		return
 	}
-	f.refuse("no server", f.g.s.Return)
+	f.absent()
 }
 
 // conclude ends a request that is not sent again.
--- a/internal/gateway/reply.go
+++ b/internal/gateway/reply.go
@@ -71,6 +71,12 @@
 	f.finish(reason, http.StatusServiceUnavailable, nil)
 }
 
+// absent refuses a request because no server can be reached.
+func (f *flight) absent() {
+	f.g.s.Missing()
+	f.refuse("no server", f.g.s.Absent)
+}
+
 // fail ends the request with a status of the gateway's own.
 func (f *flight) fail(status int, reason string) {
 	f.say(status, reason)
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -23,7 +23,9 @@
 	// Plan returns the plan in force, nil before the first one.
 	Plan func() *planner.Planner
 	// Known tells whether the servers are known; nil if they always are.
-	Known   func() bool
+	Known func() bool
+	// Missing is called when no server of a pool could be reached; may be nil.
+	Missing func()
 	Placer  *placer.Placer
 	Courier *courier.Courier
 	// Lenders lend the memory of model servers; nil if there are none.
@@ -44,6 +46,8 @@
 	// Return is when callers may come back after a refusal because no server has
 	// room.
 	Return time.Duration
+	// Absent is when callers may come back while no server can be reached.
+	Absent time.Duration
 	// Growth is the part of the most output tokens that is reserved beside the
 	// prompt.
 	Growth float64
@@ -61,6 +65,9 @@
 	defaultSpare  = 4
 	defaultWindow = 10 * time.Second
 	defaultReturn = 200 * time.Millisecond
+	// defaultAbsent is what the host list lags behind servers that have come back.
+	// Callers who wait two or three seconds in all honour no more.
+	defaultAbsent = 800 * time.Millisecond
 	// defaultStartup covers an election and a connection to a control host.
 	defaultStartup = 1500 * time.Millisecond
 	defaultStall   = 10 * time.Second
@@ -79,6 +86,10 @@
 	fill(&s.Window, defaultWindow)
 	fill(&s.Return, defaultReturn)
 	fill(&s.Startup, defaultStartup)
+	fill(&s.Absent, defaultAbsent)
+	if s.Missing == nil {
+		s.Missing = func() {}
+	}
 	if s.Known == nil {
 		s.Known = func() bool { return true }
 	}
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -74,7 +74,7 @@
 	case errors.As(err, &refused):
 		f.refuse("no room: "+refused.Reason, max(refused.After, f.g.s.Return))
 	case errors.Is(err, errNoServer):
-		f.refuse("no server", f.g.s.Return)
+		f.absent()
 	default:
 		f.refuse("no room in time", f.g.s.Return)
 	}
--- a/internal/listener/gate.go
+++ b/internal/listener/gate.go
@@ -3,6 +3,7 @@
 import (
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -19,6 +20,14 @@
 	net.Listener
 	once sync.Once
 	open chan struct{} // closed by release
+	shut atomic.Bool   // nothing is accepted any more
+}
+
+// Close implements net.Listener.
+func (g *gate) Close() error {
+	g.shut.Store(true)
+
+	return g.Listener.Close() //nolint:wrapcheck // net.Listener passes errors on
 }
 
 // Accept implements net.Listener.
--- a/internal/listener/listener_test.go
+++ b/internal/listener/listener_test.go
@@ -9,6 +9,7 @@
 	"runtime"
 	"strconv"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -418,3 +419,42 @@
 		}
 	}
 }
+
+// Guards against a new connection that is closed unanswered for the end of an
+// older one with the same file descriptor.
+func TestShortConnections(t *testing.T) {
+	l, _ := start(t, echo(), listener.Settings{})
+	const workers, each = 24, 400
+	probe, _ := wireup(t, l)
+	io.WriteString(probe, post("/s/d/p", "x", "Connection: close"))
+	whole, err := io.ReadAll(probe)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var unanswered atomic.Int64
+	var work sync.WaitGroup
+	for range workers {
+		work.Go(func() {
+			for range each {
+				conn, err := net.Dial("tcp", l.Addr())
+				if err != nil {
+					t.Error(err)
+
+					return
+				}
+				conn.SetDeadline(time.Now().Add(20 * time.Second))
+				io.WriteString(conn, post("/s/d/p", "x", "Connection: close"))
+				// Both sides close as soon as the answer is whole.
+				answer := make([]byte, len(whole))
+				if _, err := io.ReadFull(conn, answer); err != nil {
+					unanswered.Add(1)
+				}
+				conn.Close()
+			}
+		})
+	}
+	work.Wait()
+	if got, want := unanswered.Load(), int64(0); got != want {
+		t.Errorf("connections without an answer: got %d of %d, want %d", got, workers*each, want)
+	}
+}
--- a/internal/listener/peer.go
+++ b/internal/listener/peer.go
@@ -33,6 +33,7 @@
 	partial  atomic.Bool  // a request is being received
 	arriving atomic.Int64 // requests received whole that are not in the queue yet
 	faulty   atomic.Bool  // input ended with a fault, so the caller may still send
+	unframed atomic.Bool  // the end of the last response is that of the connection
 
 	mu    sync.Mutex
 	queue []*exchange // the first one is running
@@ -132,6 +133,7 @@
 	p.queue = nil
 	if e.close {
 		p.last = true
+		p.unframed.Store(e.old)
 		p.hangUp()
 
 		return nil
@@ -171,14 +173,26 @@
 	}
 }
 
+// closeTime is how long a caller has to close a connection whose last response
+// said that it ends.
+const closeTime = 500 * time.Millisecond
+
 // shut closes the connection, after a while if the caller may still be sending.
+//
+// The caller is left to close it first where that is possible: nbio v1.6.8 finds
+// the connection of an event by its file descriptor. If both sides close at the
+// same time, an event of this connection that the poller has fetched already
+// would close the next one that was accepted with its descriptor.
 func (p *peer) shut() {
-	if p.faulty.Load() {
+	switch {
+	case p.faulty.Load():
 		_ = p.conn.SetReadDeadline(time.Now().Add(lingerTime))
-
-		return
+	case p.unframed.Load() || p.l.accept == nil || p.l.accept.shut.Load():
+		// Nothing is accepted during a drain, so no descriptor is used again.
+		_ = p.conn.Close()
+	default:
+		_ = p.conn.SetReadDeadline(time.Now().Add(closeTime))
 	}
-	_ = p.conn.Close()
 }
 
 // Write sends bytes to the caller, in the background if it is slow.
--- a/internal/lister/lister.go
+++ b/internal/lister/lister.go
@@ -35,6 +35,8 @@
 	Log    *log.Logger
 	// Interval is the time between two reads, and Timeout bounds each.
 	Interval, Timeout time.Duration
+	// Least is the time between two reads at least, when Hurry asks for one.
+	Least time.Duration
 }
 
 const (
@@ -42,6 +44,8 @@
 	// server must get no new work.
 	defaultInterval = time.Second
 	defaultTimeout  = 900 * time.Millisecond
+	// defaultLeast bounds what a whole pool that is down costs in calls.
+	defaultLeast = 300 * time.Millisecond
 )
 
 // Defaults fills the fields that are zero.
@@ -52,6 +56,9 @@
 	if s.Timeout == 0 {
 		s.Timeout = defaultTimeout
 	}
+	if s.Least == 0 {
+		s.Least = defaultLeast
+	}
 	if s.Log == nil {
 		s.Log = &log.Logger{Writer: log.IOWriter{Writer: io.Discard}}
 	}
@@ -76,6 +83,7 @@
 	work    sync.WaitGroup
 	mu      sync.Mutex
 	reading bool
+	begun   time.Time // of the last read
 	read    time.Time // of the last list, zero before the first
 	lost    bool
 	size    int
@@ -126,6 +134,16 @@
 	return !l.read.IsZero()
 }
 
+// Hurry reads the list soon, because no server that it names could be reached.
+func (l *Lister) Hurry() {
+	l.mu.Lock()
+	soon := l.s.Timer.Now().Sub(l.begun) >= l.s.Least
+	l.mu.Unlock()
+	if soon {
+		l.begin()
+	}
+}
+
 // begin starts a read unless one is under way.
 func (l *Lister) begin() {
 	l.mu.Lock()
@@ -133,7 +151,7 @@
 	if l.reading || l.ctx.Err() != nil {
 		return
 	}
-	l.reading = true
+	l.reading, l.begun = true, l.s.Timer.Now()
 	l.work.Add(1)
 	go func() {
 		defer l.work.Done()
