Share the retry budget by the number of entries

Cause: the spare sends of an entry were a constant for eight entries; a site with 28 would have exceeded the operator's limit. Control hosts now tell entries how many there are, and the limits come from the settings. TestBudgetIsShared.

--- a/internal/admitter/budget.go
+++ b/internal/admitter/budget.go
@@ -21,6 +21,9 @@
 	return &Budget{fraction: fraction, spare: spare, window: window}
 }
 
+// Configure changes what is allowed from now on.
+func (b *Budget) Configure(fraction, spare float64) { b.fraction, b.spare = fraction, spare }
+
 // First counts the first send of a request.
 func (b *Budget) First(now time.Time) { b.firsts.add(now, 1, b.window) }
 
--- a/internal/controller/fake_test.go
+++ b/internal/controller/fake_test.go
@@ -125,3 +125,6 @@
 
 // Plan implements State.
 func (f *fakeState) Plan() *wire.Plan { return nil }
+
+// Entries implements State.
+func (f *fakeState) Entries() int { return 0 }
--- a/internal/controller/server.go
+++ b/internal/controller/server.go
@@ -221,6 +221,7 @@
 		for _, m := range c.members.GetVoters() {
 			p.Hosts = append(p.Hosts, m.GetAddr())
 		}
+		p.Entries = int32(c.state.Entries())
 		p.Index = min(c.state.Index(), sent)
 		if lease := c.core.Lease(c.s.Timer.Now()); lease >= 0 {
 			p.Lease = min(lease.Milliseconds(), neverHeard)
--- a/internal/controller/settings.go
+++ b/internal/controller/settings.go
@@ -42,6 +42,8 @@
 	Restore(data []byte) error
 	// Plan is the routing plan in force, or nil.
 	Plan() *wire.Plan
+	// Entries is the number of entry processes.
+	Entries() int
 }
 
 // Settings of a control process. Listen and Folder have no defaults.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -181,9 +181,17 @@
 func (g *Gateway) budget(pool string) *admitter.Budget {
 	b := g.budgets[pool]
 	if b == nil {
-		b = admitter.NewBudget(g.s.Repeats, g.s.Spare, g.s.Window)
+		b = admitter.NewBudget(0, 0, g.s.Window)
 		g.budgets[pool] = b
 	}
+	gateways := 1
+	if g.s.Gateways != nil {
+		gateways = g.s.Gateways()
+	}
+	if gateways <= 0 {
+		gateways = unknownGateways
+	}
+	b.Configure(g.s.Repeats*caution, g.s.Spare*caution/float64(gateways))
 
 	return b
 }
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/damasklever/damasklever/internal/borrower"
+	"github.com/damasklever/damasklever/internal/gateway"
 	"github.com/damasklever/damasklever/internal/placer"
 	"github.com/damasklever/damasklever/internal/planner"
 	"github.com/damasklever/damasklever/internal/wire"
@@ -408,3 +409,27 @@
 		t.Errorf("answer: got %d %q, want the server's", got.status, got.body)
 	}
 }
+
+// Guards against gateways that together send more requests again than the
+// operator allows: each has its part of what is spare.
+func TestBudgetIsShared(t *testing.T) {
+	for name, test := range map[string]struct {
+		gateways int
+		want     int // answers that were tried again
+	}{
+		"alone": {1, 5}, "one of five": {5, 1}, "one of many": {100, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			a, b := newBackend(t, "a", breaking), newBackend(t, "b", breaking)
+			r := newRigWith(t, func(s *gateway.Settings) {
+				s.Repeats, s.Spare, s.Gateways = 0.0001, 10, func() int { return test.gateways }
+			}, a.server(placer.Plain), b.server(placer.Plain))
+			for range 8 {
+				r.call(t, http.MethodGet, "/read/x", "", nil)
+			}
+			if got := len(a.arrivals()) + len(b.arrivals()) - 8; got != test.want {
+				t.Errorf("requests sent once more: got %d, want %d", got, test.want)
+			}
+		})
+	}
+}
--- a/internal/gateway/rig_test.go
+++ b/internal/gateway/rig_test.go
@@ -128,6 +128,12 @@
 
 func newRig(t *testing.T, lenders gateway.Lenders, servers ...placer.Server) *rig {
 	t.Helper()
+
+	return newRigWith(t, func(s *gateway.Settings) { s.Lenders = lenders }, servers...)
+}
+
+func newRigWith(t *testing.T, change func(s *gateway.Settings), servers ...placer.Server) *rig {
+	t.Helper()
 	clock := timer.New()
 	t.Cleanup(clock.Close)
 	r := &rig{plan: planner.New(standardPlan())}
@@ -142,16 +148,17 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(c.Close)
-	r.gateway, err = gateway.New(gateway.Settings{
-		Listen: "127.0.0.1:0", Dialect: dialect{}, Placer: r.placer, Courier: c, Timer: clock, Lenders: lenders,
+	settings := gateway.Settings{
+		Listen: "127.0.0.1:0", Dialect: dialect{}, Placer: r.placer, Courier: c, Timer: clock,
 		Plan: func() *planner.Planner {
 			r.mu.Lock()
 			defer r.mu.Unlock()
 
 			return r.plan
 		},
-	}, prometheus.NewRegistry())
-	if err != nil {
+	}
+	change(&settings)
+	if r.gateway, err = gateway.New(settings, prometheus.NewRegistry()); err != nil {
 		t.Fatal(err)
 	}
 	if err := r.gateway.Start(t.Context()); err != nil {
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -33,12 +33,15 @@
 	Timer   timer.Service
 	// Log receives one line a decision; nil discards them.
 	Log *log.Logger
-	// Repeats is the fraction of a pool's requests that may be sent once more, and
-	// Spare the number that may be in any case, both in about Window. All gateways
-	// together must stay below what the operator allows.
+	// Repeats is the fraction of a pool's requests that all gateways together may
+	// send once more, and Spare the number that they may in any case, both in about
+	// Window.
 	Repeats float64
 	Spare   float64
 	Window  time.Duration
+	// Gateways returns how many gateways share the spare sends, 0 if unknown; nil
+	// if this one is alone.
+	Gateways func() int
 	// Startup is how long a request waits for the first plan and the first servers:
 	// after a restart of everything they are there as soon as a leader is elected,
 	// and callers come back only once.
@@ -60,11 +63,15 @@
 
 const (
 	defaultRepeats = 0.1
-	// defaultSpare keeps eight gateways below 60 sends in any window: the meter
-	// forgets exponentially, so that a full window may hold 1.7 times as many.
-	defaultSpare  = 4
-	defaultWindow = 10 * time.Second
-	defaultReturn = 200 * time.Millisecond
+	defaultSpare   = 20
+	// caution keeps all gateways together below the limit: their meters forget
+	// exponentially, so that a full window may hold 1.7 times as many.
+	caution = 0.5
+	// unknownGateways shares the spare sends until a control host has told how many
+	// gateways there are.
+	unknownGateways = 30
+	defaultWindow   = 10 * time.Second
+	defaultReturn   = 200 * time.Millisecond
 	// defaultAbsent is what the host list lags behind servers that have come back.
 	// Callers who wait two or three seconds in all honour no more.
 	defaultAbsent = 800 * time.Millisecond
--- a/internal/registrar/plan.go
+++ b/internal/registrar/plan.go
@@ -17,6 +17,10 @@
 	return p
 }
 
+// Entries returns the number of entry processes that have registered and were
+// not reported absent.
+func (r *Registrar) Entries() int { return len(r.claims.current) }
+
 // replace puts a plan in force if its version is the highest. An older one is
 // done, since it is superseded, and a resend finds its own content. Other content
 // under the version in force loses to what came first.
--- a/internal/subscriber/subscriber.go
+++ b/internal/subscriber/subscriber.go
@@ -37,6 +37,7 @@
 	wait    backoff
 	stops   []func()
 	started bool
+	entries int      // that the control host counts
 	seeds   []string // configured control hosts
 	named   []string // members that a control host has named
 	// confirmed is the last time at which a quorum was known to stand behind the
@@ -151,6 +152,15 @@
 	return s.client.Propose(ctx, cmd)
 }
 
+// Entries returns how many entry processes there are as far as the last control
+// host knew, 0 before the first pulse.
+func (s *Subscriber) Entries() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+
+	return s.entries
+}
+
 // SetSeeds replaces the configured addresses of control hosts, "ip:port". Hosts
 // that a control host has named since stay known.
 func (s *Subscriber) SetSeeds(seeds []string) {
@@ -345,6 +355,7 @@
 // pulse checks that the host is in touch with a quorum and that the view keeps
 // up with it. It needs the lock.
 func (s *Subscriber) pulse(l *link, p *wire.Pulse) {
+	s.entries = int(p.GetEntries())
 	if len(p.GetHosts()) > 0 {
 		s.learn(p.GetHosts())
 	}
