--- a/internal/borrower/borrower.go
+++ b/internal/borrower/borrower.go
@@ -5,7 +5,6 @@
 
 import (
 	"context"
-	"io"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -14,6 +13,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/phuslu/log"
 
+	"github.com/damasklever/damasklever/internal/reporter"
 	"github.com/damasklever/damasklever/internal/timer"
 	"github.com/damasklever/damasklever/internal/wire"
 )
@@ -57,7 +57,7 @@
 		}
 	}
 	if s.Log == nil {
-		s.Log = &log.Logger{Writer: log.IOWriter{Writer: io.Discard}}
+		s.Log = reporter.Discard()
 	}
 }
 
--- a/internal/controller/settings.go
+++ b/internal/controller/settings.go
@@ -1,7 +1,6 @@
 package controller
 
 import (
-	"io"
 	"net"
 	"slices"
 	"time"
@@ -11,6 +10,7 @@
 
 	"github.com/damasklever/damasklever/internal/recorder"
 	"github.com/damasklever/damasklever/internal/registrar"
+	"github.com/damasklever/damasklever/internal/reporter"
 	"github.com/damasklever/damasklever/internal/timer"
 	"github.com/damasklever/damasklever/internal/wire"
 )
@@ -123,7 +123,7 @@
 		s.State = registrar.New()
 	}
 	if s.Log == nil {
-		s.Log = &log.Logger{Writer: log.IOWriter{Writer: io.Discard}}
+		s.Log = reporter.Discard()
 	}
 }
 
--- a/internal/dispatcher/request.go
+++ b/internal/dispatcher/request.go
@@ -6,6 +6,7 @@
 import (
 	"time"
 
+	"github.com/damasklever/damasklever/internal/filler"
 	"github.com/damasklever/damasklever/internal/wire"
 )
 
@@ -72,27 +73,21 @@
 
 func (l Limits) filled() Limits {
 	d := DefaultLimits()
-	fill(&l.Total, d.Total)
-	fill(&l.Claim, d.Claim)
-	fill(&l.Prefill, d.Prefill)
-	fill(&l.Transfer, d.Transfer)
-	fill(&l.Keep, d.Keep)
-	fill(&l.Gap, d.Gap)
-	fill(&l.Linger, d.Linger)
-	fill(&l.Patience, d.Patience)
-	fill(&l.Asks, d.Asks)
-	fill(&l.Rounds, d.Rounds)
-	fill(&l.Resumes, d.Resumes)
+	filler.Zero(&l.Total, d.Total)
+	filler.Zero(&l.Claim, d.Claim)
+	filler.Zero(&l.Prefill, d.Prefill)
+	filler.Zero(&l.Transfer, d.Transfer)
+	filler.Zero(&l.Keep, d.Keep)
+	filler.Zero(&l.Gap, d.Gap)
+	filler.Zero(&l.Linger, d.Linger)
+	filler.Zero(&l.Patience, d.Patience)
+	filler.Zero(&l.Asks, d.Asks)
+	filler.Zero(&l.Rounds, d.Rounds)
+	filler.Zero(&l.Resumes, d.Resumes)
 
 	return l
 }
 
-func fill[T int | time.Duration](field *T, value T) {
-	if *field == 0 {
-		*field = value
-	}
-}
-
 // Choice asks for candidates.
 type Choice struct {
 	Phase wire.Phase
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -1,15 +1,16 @@
 package gateway
 
 import (
-	"io"
 	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/phuslu/log"
 
 	"github.com/damasklever/damasklever/internal/courier"
+	"github.com/damasklever/damasklever/internal/filler"
 	"github.com/damasklever/damasklever/internal/placer"
 	"github.com/damasklever/damasklever/internal/planner"
+	"github.com/damasklever/damasklever/internal/reporter"
 	"github.com/damasklever/damasklever/internal/timer"
 )
 
@@ -88,31 +89,24 @@
 
 // Defaults fills the fields that are zero.
 func (s *Settings) Defaults() {
-	fill(&s.Repeats, defaultRepeats)
-	fill(&s.Spare, defaultSpare)
-	fill(&s.Window, defaultWindow)
-	fill(&s.Return, defaultReturn)
-	fill(&s.Startup, defaultStartup)
-	fill(&s.Absent, defaultAbsent)
+	filler.Zero(&s.Repeats, defaultRepeats)
+	filler.Zero(&s.Spare, defaultSpare)
+	filler.Zero(&s.Window, defaultWindow)
+	filler.Zero(&s.Return, defaultReturn)
+	filler.Zero(&s.Startup, defaultStartup)
+	filler.Zero(&s.Absent, defaultAbsent)
 	if s.Missing == nil {
 		s.Missing = func() {}
 	}
 	if s.Known == nil {
 		s.Known = func() bool { return true }
 	}
-	fill(&s.Stall, defaultStall)
-	fill(&s.Growth, defaultGrowth)
-	fill(&s.Step, defaultStep)
-	fill(&s.Read, defaultRead)
+	filler.Zero(&s.Stall, defaultStall)
+	filler.Zero(&s.Growth, defaultGrowth)
+	filler.Zero(&s.Step, defaultStep)
+	filler.Zero(&s.Read, defaultRead)
 	if s.Log == nil {
-		s.Log = &log.Logger{Writer: log.IOWriter{Writer: io.Discard}}
-	}
-}
-
-func fill[T comparable](field *T, value T) {
-	var zero T
-	if *field == zero {
-		*field = value
+		s.Log = reporter.Discard()
 	}
 }
 
--- a/internal/lender/settings.go
+++ b/internal/lender/settings.go
@@ -2,13 +2,14 @@
 
 import (
 	"context"
-	"io"
 	"net"
 	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/phuslu/log"
 
+	"github.com/damasklever/damasklever/internal/filler"
+	"github.com/damasklever/damasklever/internal/reporter"
 	"github.com/damasklever/damasklever/internal/timer"
 )
 
@@ -94,26 +95,19 @@
 
 // Defaults fills the fields that are zero.
 func (s *Settings) Defaults() {
-	fill(&s.Block, defaultBlock)
-	fill(&s.Readers, defaultReaders)
-	fill(&s.Ranks, defaultRanks)
-	fill(&s.Floor, defaultFloor)
-	fill(&s.Headroom, defaultHeadroom)
-	fill(&s.Lease, defaultLease)
-	fill(&s.Growth, defaultGrowth)
-	fill(&s.Look, defaultLook)
-	fill(&s.Lost, defaultLost)
-	fill(&s.Push, defaultPush)
-	fill(&s.Pulse, defaultPulse)
+	filler.Zero(&s.Block, defaultBlock)
+	filler.Zero(&s.Readers, defaultReaders)
+	filler.Zero(&s.Ranks, defaultRanks)
+	filler.Zero(&s.Floor, defaultFloor)
+	filler.Zero(&s.Headroom, defaultHeadroom)
+	filler.Zero(&s.Lease, defaultLease)
+	filler.Zero(&s.Growth, defaultGrowth)
+	filler.Zero(&s.Look, defaultLook)
+	filler.Zero(&s.Lost, defaultLost)
+	filler.Zero(&s.Push, defaultPush)
+	filler.Zero(&s.Pulse, defaultPulse)
 	if s.Log == nil {
-		s.Log = &log.Logger{Writer: log.IOWriter{Writer: io.Discard}}
-	}
-}
-
-func fill[T comparable](field *T, value T) {
-	var zero T
-	if *field == zero {
-		*field = value
+		s.Log = reporter.Discard()
 	}
 }
 
--- a/internal/lister/lister.go
+++ b/internal/lister/lister.go
@@ -5,7 +5,6 @@
 
 import (
 	"context"
-	"io"
 	"sync"
 	"time"
 
@@ -13,6 +12,7 @@
 	"github.com/phuslu/log"
 
 	"github.com/damasklever/damasklever/internal/placer"
+	"github.com/damasklever/damasklever/internal/reporter"
 	"github.com/damasklever/damasklever/internal/timer"
 )
 
@@ -60,7 +60,7 @@
 		s.Least = defaultLeast
 	}
 	if s.Log == nil {
-		s.Log = &log.Logger{Writer: log.IOWriter{Writer: io.Discard}}
+		s.Log = reporter.Discard()
 	}
 }
 
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -11,6 +11,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/damasklever/damasklever/internal/filler"
 )
 
 // Stage is the part of a model request that a server runs.
@@ -91,26 +93,19 @@
 
 // Defaults fills the fields that are zero.
 func (s *Settings) Defaults() {
-	fill(&s.PrefillRate, defaultPrefillRate)
-	fill(&s.DecodeRate, defaultDecodeRate)
-	fill(&s.Running, defaultRunning)
-	fill(&s.Near, defaultNear)
-	fill(&s.Far, defaultFar)
-	fill(&s.Transfer, defaultTransfer)
-	fill(&s.Penalty, defaultPenalty)
-	fill(&s.MaxPenalty, defaultMaxPenalty)
+	filler.Zero(&s.PrefillRate, defaultPrefillRate)
+	filler.Zero(&s.DecodeRate, defaultDecodeRate)
+	filler.Zero(&s.Running, defaultRunning)
+	filler.Zero(&s.Near, defaultNear)
+	filler.Zero(&s.Far, defaultFar)
+	filler.Zero(&s.Transfer, defaultTransfer)
+	filler.Zero(&s.Penalty, defaultPenalty)
+	filler.Zero(&s.MaxPenalty, defaultMaxPenalty)
 	if s.Draw == nil {
 		s.Draw = rand.Float64
 	}
 }
 
-func fill[T comparable](field *T, value T) {
-	var zero T
-	if *field == zero {
-		*field = value
-	}
-}
-
 // Validate reports every fault at once.
 func (s *Settings) Validate() error {
 	if s.PrefillRate < 0 || s.DecodeRate < 0 || s.Penalty < 0 || s.MaxPenalty < s.Penalty ||
--- a/internal/replicator/settings.go
+++ b/internal/replicator/settings.go
@@ -4,6 +4,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/damasklever/damasklever/internal/filler"
 )
 
 const (
@@ -43,20 +45,13 @@
 
 // Defaults fills the fields that are zero.
 func (s *Settings) Defaults() {
-	fill(&s.Election, defaultElection)
-	fill(&s.Heartbeat, defaultHeartbeat)
-	fill(&s.Batch, defaultBatch)
-	fill(&s.Window, defaultWindow)
-	fill(&s.Backlog, defaultBacklog)
-	fill(&s.Chunk, defaultChunk)
-	fill(&s.Lag, defaultLag)
-}
-
-func fill[T comparable](field *T, value T) {
-	var zero T
-	if *field == zero {
-		*field = value
-	}
+	filler.Zero(&s.Election, defaultElection)
+	filler.Zero(&s.Heartbeat, defaultHeartbeat)
+	filler.Zero(&s.Batch, defaultBatch)
+	filler.Zero(&s.Window, defaultWindow)
+	filler.Zero(&s.Backlog, defaultBacklog)
+	filler.Zero(&s.Chunk, defaultChunk)
+	filler.Zero(&s.Lag, defaultLag)
 }
 
 // Validate reports every fault at once.
--- a/internal/reporter/reporter.go
+++ b/internal/reporter/reporter.go
@@ -29,6 +29,9 @@
 	}
 }
 
+// Discard returns a logger that writes nothing.
+func Discard() *log.Logger { return &log.Logger{Writer: log.IOWriter{Writer: io.Discard}} }
+
 // backlog is the number of lines that wait for a slow writer.
 const backlog = 1024
 
--- a/internal/subscriber/settings.go
+++ b/internal/subscriber/settings.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"io"
 	"math/rand/v2"
 	"net"
 	"slices"
@@ -13,6 +12,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/damasklever/damasklever/internal/messenger"
+	"github.com/damasklever/damasklever/internal/reporter"
 	"github.com/damasklever/damasklever/internal/wire"
 )
 
@@ -81,7 +81,7 @@
 		s.Dial = dialMessenger
 	}
 	if s.Log == nil {
-		s.Log = &log.Logger{Writer: log.IOWriter{Writer: io.Discard}}
+		s.Log = reporter.Discard()
 	}
 	if s.Rand == nil {
 		s.Rand = rand.Float64
