Keep connections whose request was written late, and bound the log

Cause: courier.TestConnectionsKept/kept failed once with all packages at once (2 connections instead of 1): a response was read to its end before the goroutine that had written the request had said so, and the connection was thrown away. It is now kept once the write has ended, also after an early answer to a long body (TestEarlyAnswerToLongBody). The log passes on 1,000 lines a second at most, and a log that nobody reads holds up no request (TestStalledLogHoldsUpNothing).

--- a/internal/courier/courier.go
+++ b/internal/courier/courier.go
@@ -126,6 +126,18 @@
 	return c.opened
 }
 
+// Kept returns the number of connections that wait for their next request.
+func (c *Courier) Kept() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	n := 0
+	for _, lines := range c.idle {
+		n += len(lines)
+	}
+
+	return n
+}
+
 // Response is the head of a response. The body must be read to its end or
 // closed. Closing it early closes the connection, which ends the server's work.
 type Response struct {
--- a/internal/courier/courier_test.go
+++ b/internal/courier/courier_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"runtime"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -166,6 +167,9 @@
 				if i == 0 && strings.HasSuffix(test.first, "!") {
 					waitClosed(t, s)
 				}
+				if test.conns == 1 {
+					waitKept(t, c)
+				}
 			}
 			if got := c.Opened(); got != uint64(test.conns) {
 				t.Errorf("connections: got %d, want %d", got, test.conns)
@@ -187,6 +191,16 @@
 	io.Copy(io.Discard, probe)
 }
 
+// waitKept returns once a connection is kept for the next request.
+func waitKept(t *testing.T, c *courier.Courier) {
+	t.Helper()
+	for begun := time.Now(); c.Kept() == 0; runtime.Gosched() {
+		if time.Since(begun) > 10*time.Second {
+			t.Fatal("kept connections: got none in 10 s, want one")
+		}
+	}
+}
+
 // Guards against a request that is said not to have run although it was sent, and
 // against one that is taken for sent although its server was not reached.
 func TestNotSent(t *testing.T) {
@@ -228,3 +242,54 @@
 		t.Error("read after the end of the context: got none, want one in 5 s")
 	}
 }
+
+// Guards against a connection that is used again while the rest of a long body is
+// still due on it, and against one that is thrown away for it.
+func TestEarlyAnswerToLongBody(t *testing.T) {
+	const size = 8 << 20
+	l, err := (&net.ListenConfig{}).Listen(t.Context(), "tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	answered, rest := make(chan struct{}), make(chan int64, 1)
+	go func() {
+		conn, err := l.Accept()
+		if err != nil {
+			return
+		}
+		defer conn.Close()
+		reader := bufio.NewReader(conn)
+		r, err := http.ReadRequest(reader)
+		if err != nil {
+			return
+		}
+		io.WriteString(conn, ok)
+		<-answered
+		n, _ := io.Copy(io.Discard, r.Body)
+		rest <- n
+		http.ReadRequest(reader)
+		io.WriteString(conn, ok)
+	}()
+	c := newCourier(t)
+	r, err := c.Do(t.Context(), l.Addr().String(), &courier.Request{
+		Method: http.MethodPost, Target: "/", Host: "h", Header: http.Header{headID: {"a"}}, Body: make([]byte, size),
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if body, err := io.ReadAll(r.Body); string(body) != "ok" || err != nil {
+		t.Fatalf("early answer: got %q, %v, want ok", body, err)
+	}
+	if got, want := c.Kept(), 0; got != want {
+		t.Errorf("connections to use while the body is due: got %d, want %d", got, want)
+	}
+	close(answered)
+	if got, want := <-rest, int64(size); got != want {
+		t.Errorf("rest of the body: got %d bytes, want %d", got, want)
+	}
+	waitKept(t, c)
+	if got, err := do(t.Context(), c, l.Addr().String()); got != "ok" || err != nil {
+		t.Errorf("next request: got %q, %v, want ok", got, err)
+	}
+}
--- a/internal/courier/exchange.go
+++ b/internal/courier/exchange.go
@@ -94,19 +94,23 @@
 // finish keeps the connection if nothing of this exchange is left on it.
 func (e *exchange) finish(expiry time.Duration) {
 	e.once.Do(func() {
-		var sent bool
+		keep := func(err error) {
+			if !e.stop() || err != nil || e.line.reader.Buffered() > 0 {
+				_ = e.line.Close()
+
+				return
+			}
+			e.line.expiry = expiry
+			e.c.put(e.addr, e.line)
+		}
 		select {
 		case err := <-e.written:
-			sent = err == nil
+			keep(err)
 		default:
+			// The server has answered before it has read all, or the writer has not run
+			// since. The end of ctx closes the connection and ends the write.
+			go func() { keep(<-e.written) }()
 		}
-		if !e.stop() || !sent || e.line.reader.Buffered() > 0 {
-			_ = e.line.Close()
-
-			return
-		}
-		e.line.expiry = expiry
-		e.c.put(e.addr, e.line)
 	})
 }
 
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -15,6 +15,7 @@
 	"github.com/damasklever/damasklever/internal/gateway"
 	"github.com/damasklever/damasklever/internal/placer"
 	"github.com/damasklever/damasklever/internal/planner"
+	"github.com/damasklever/damasklever/internal/reporter"
 	"github.com/damasklever/damasklever/internal/wire"
 )
 
@@ -410,6 +411,39 @@
 	}
 }
 
+// Guards against requests that wait for whoever reads the log.
+func TestStalledLogHoldsUpNothing(t *testing.T) {
+	a := newBackend(t, "a", answering(http.StatusOK, "good"))
+	stalled := make(chan struct{})
+	pipe := reporter.NewPipe(blocked{stalled})
+	r := newRigWith(t, func(s *gateway.Settings) {
+		s.Log = reporter.New(reporter.Settings{Role: "entry", Name: "e", Level: "info", Writer: pipe})
+	}, a.server(placer.Plain))
+	conn, err := (&net.Dialer{}).DialContext(t.Context(), "tcp", r.gateway.Addr())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	// Two lines a request are more than the pipe holds.
+	for n := range 800 {
+		if got := exchange(t, conn, http.MethodGet, "/read/x", "", nil); got.body != "good" {
+			t.Fatalf("request %d: got %d %q, want good", n, got.status, got.body)
+		}
+	}
+	close(stalled)
+	pipe.Close()
+	<-pipe.Done()
+}
+
+// blocked is a writer that nobody reads.
+type blocked struct{ until chan struct{} }
+
+func (b blocked) Write(line []byte) (int, error) {
+	<-b.until
+
+	return len(line), nil
+}
+
 // Guards against gateways that together send more requests again than the
 // operator allows: each has its part of what is spare.
 func TestBudgetIsShared(t *testing.T) {
--- a/internal/reporter/reporter.go
+++ b/internal/reporter/reporter.go
@@ -32,11 +32,17 @@
 // Discard returns a logger that writes nothing.
 func Discard() *log.Logger { return &log.Logger{Writer: log.IOWriter{Writer: io.Discard}} }
 
-// backlog is the number of lines that wait for a slow writer.
-const backlog = 1024
+const (
+	// backlog is the number of lines that wait for a slow writer.
+	backlog = 1024
+	// linesPerSecond bounds the volume: some four lines for each of the requests
+	// that one entry takes at its peak.
+	linesPerSecond = 1000
+)
 
-// Pipe passes lines on to a writer that may block. Lines beyond the backlog are
-// dropped, and their number is written once there is room.
+// Pipe passes lines on to a writer that may block. Lines beyond the backlog, or
+// beyond the volume of a second, are dropped, and their number is written with the
+// next line.
 type Pipe struct {
 	out   io.Writer
 	lines chan []byte
@@ -45,6 +51,8 @@
 	mu      sync.Mutex
 	closed  bool
 	dropped int
+	second  int64 // Unix seconds
+	written int   // lines in that second
 }
 
 // NewPipe starts to pass lines on to out.
@@ -62,8 +70,17 @@
 	if p.closed {
 		return len(line), nil
 	}
+	if now := time.Now().Unix(); now != p.second {
+		p.second, p.written = now, 0
+	}
+	if p.written >= linesPerSecond {
+		p.dropped++
+
+		return len(line), nil
+	}
 	select {
 	case p.lines <- append([]byte(nil), line...):
+		p.written++
 	default:
 		p.dropped++
 	}
