--- a/internal/courier/exchange.go
+++ b/internal/courier/exchange.go
@@ -95,7 +95,7 @@
 func (e *exchange) finish(expiry time.Duration) {
 	e.once.Do(func() {
 		keep := func(err error) {
-			if !e.stop() || err != nil || e.line.reader.Buffered() > 0 {
+			if !e.stop() || err != nil || expiry <= 0 || e.line.reader.Buffered() > 0 {
 				_ = e.line.Close()
 
 				return
--- a/internal/gateway/dialect.go
+++ b/internal/gateway/dialect.go
@@ -49,8 +49,6 @@
 	Header(caller http.Header, s Send) http.Header
 	// Refused tells whether a response says that the request has not run.
 	Refused(status int, h http.Header) bool
-	// Leaving tells whether a response says that its server is going away.
-	Leaving(h http.Header) bool
 	// Handle reads the answer to a send with Prefill.
 	Handle(body []byte) (string, error)
 	// Free is the request that gives back what a server keeps under a handle.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -25,7 +25,6 @@
 	meters *meters
 	accept net.Listener
 	feed   *feed
-	server *http.Server
 
 	leaving atomic.Bool
 	active  atomic.Int64    // requests in flight
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -120,9 +120,6 @@
 
 // judge says what a response means and tells the placer.
 func (f *flight) judge(s *placer.Server, r *courier.Response) end {
-	if f.g.s.Dialect.Leaving(r.Header) {
-		f.g.s.Placer.Leave(s.ID)
-	}
 	refused := f.g.s.Dialect.Refused(r.Status, r.Header)
 	f.ran = f.ran || !refused
 	switch {
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -72,7 +72,7 @@
 	}
 	g.bounds = b
 	g.feed = newFeed(g.accept.Addr())
-	g.server = &http.Server{
+	server := &http.Server{
 		Handler:           http.HandlerFunc(g.take),
 		ReadHeaderTimeout: b.head,
 		IdleTimeout:       b.idle,
@@ -82,7 +82,7 @@
 		// "OPTIONS *" is a request like any other.
 		DisableGeneralOptionsHandler: true,
 	}
-	server, feed := g.server, g.feed
+	feed := g.feed
 	g.servers = append(g.servers, server)
 	g.work.Add(1)
 	go func() {
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -337,15 +337,6 @@
 	return penalty
 }
 
-// Leave tells that a server said it is leaving, before the host list does.
-func (p *Placer) Leave(id string) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if st := p.servers[id]; st != nil {
-		st.Leaving = true
-	}
-}
-
 // least returns the server with the lowest cost. Servers that failed lately, or
 // that the request was sent to before, come last. Equal ones are drawn.
 func (p *Placer) least(now time.Time, q Query, stage Stage, cost func(*state) time.Duration) *state {
