Answer the request of a caller who connected before the stop

TestStopCutsNothing was red beside load: one of about 2,000 new connections got EOF at the end of an entry's stop.

Cause: after http.Server.Shutdown has begun, net/http closes a connection whose first request it has just read, without an answer (server.go of Go 1.26, conn.serve: "if c.server.shuttingDown() return" comes right after readRequest). A connection accepted just before the stop, whose request comes just after, is cut off. There was a second window: a connection taken from the socket while a new plan replaced the server was closed if the gateway was leaving.

Drain waits until the accept loop has handed over what it took and until no connection owes an answer, and only then calls Shutdown. A caller who says nothing holds the drain until the time for a header is over.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -24,6 +24,9 @@
 	s      Settings
 	meters *meters
 	accept net.Listener
+	// handed is closed when each accepted connection is with an HTTP server.
+	handed chan struct{}
+	conns  *connections
 	feed   *feed
 
 	leaving atomic.Bool
@@ -48,6 +51,7 @@
 	}
 	g := &Gateway{
 		s: s, meters: newMeters(), done: make(chan struct{}), budgets: make(map[string]*admitter.Budget),
+		handed: make(chan struct{}), conns: newConnections(),
 	}
 	if err := registry.Register(g.meters); err != nil {
 		return nil, errors.Newf("register metrics of gateway: %w", err)
@@ -69,6 +73,7 @@
 	g.work.Add(1)
 	go func() {
 		defer g.work.Done()
+		defer close(g.handed)
 		g.acceptAll()
 	}()
 
@@ -125,17 +130,21 @@
 // drainPause is the time between two looks for requests in flight.
 const drainPause = 20 * time.Millisecond
 
-// Drain stops accepting, waits until no request is in flight or ctx ends, and
-// closes the gateway.
+// Drain stops accepting, waits until each accepted connection has its answer or
+// ctx ends, and closes the gateway.
 func (g *Gateway) Drain(ctx context.Context) error {
 	g.Leave()
 	_ = g.accept.Close()
 	defer g.Close()
+	<-g.handed
+	if err := g.conns.wait(ctx); err != nil {
+		return errors.Newf("wait for callers, %d requests in flight: %w", g.active.Load(), err)
+	}
 	g.mu.Lock()
 	servers := g.servers
 	g.mu.Unlock()
 	for _, server := range servers {
-		// Shutdown waits also for a request that is still being received.
+		// What is left is idle, but for a request that has just reached a kept connection.
 		if err := server.Shutdown(ctx); err != nil {
 			return errors.Newf("wait for %d requests in flight: %w", g.active.Load(), err)
 		}
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -1,6 +1,7 @@
 package gateway_test
 
 import (
+	"bufio"
 	"context"
 	"io"
 	"net"
@@ -229,6 +230,65 @@
 	<-r.gateway.Done()
 }
 
+// Guards against a shutdown that drops a request which arrives, on a connection
+// accepted before, while the gateway drains.
+func TestDrainServesAccepted(t *testing.T) {
+	a := newBackend(t, "a", func(w http.ResponseWriter, _ *http.Request) { io.WriteString(w, "whole") })
+	for name, part := range map[string]int{"nothing sent": 0, "part of the header": 10} {
+		t.Run(name, func(t *testing.T) {
+			r := newRig(t, nil, a.server(placer.Plain))
+			conn, err := (&net.Dialer{}).DialContext(t.Context(), "tcp", r.gateway.Addr())
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer conn.Close()
+			request := "POST /once/x HTTP/1.1\r\nHost: h\r\nId: x\r\nContent-Length: 0\r\n\r\n"
+			io.WriteString(conn, request[:part])
+			// An answer to a later connection shows that this one has been accepted.
+			r.call(t, http.MethodPost, "/once/x", "", nil)
+			ended := make(chan error, 1)
+			go func() { ended <- r.gateway.Drain(context.Background()) }()
+			for refused := false; !refused; {
+				probe, err := (&net.Dialer{}).DialContext(t.Context(), "tcp", r.gateway.Addr())
+				if refused = err != nil; !refused {
+					probe.Close()
+				}
+			}
+			// Time for the drain to reach what it does after it has closed the socket.
+			<-time.After(100 * time.Millisecond)
+			io.WriteString(conn, request[part:])
+			response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+			if err != nil {
+				t.Fatalf("answer: got error %v, want a whole one", err)
+			}
+			defer response.Body.Close()
+			body, err := io.ReadAll(response.Body)
+			if got, want := string(body), "whole"; got != want || err != nil {
+				t.Errorf("answer: got %q %v, want %q", got, err, want)
+			}
+			if err := <-ended; err != nil {
+				t.Errorf("drain: got %v, want no error", err)
+			}
+		})
+	}
+}
+
+// Guards against a drain that waits for a caller who has connected and says nothing.
+func TestDrainEndsBesideSilentCaller(t *testing.T) {
+	r := newRig(t, nil)
+	conn, err := (&net.Dialer{}).DialContext(t.Context(), "tcp", r.gateway.Addr())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	r.call(t, http.MethodPost, "/once/x", "", nil)
+	ctx, cancel := context.WithTimeout(t.Context(), patience)
+	defer cancel()
+	if err := r.gateway.Drain(ctx); err != nil {
+		t.Errorf("drain: got %v, want its end once the time for a header is over", err)
+	}
+}
+
 // events writes a stream of events with ids from first to last, and its end if it
 // is whole.
 func events(first, last int, whole bool) http.HandlerFunc {
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -79,6 +79,7 @@
 		MaxHeaderBytes:    int(max(b.header-headSlack, headSlack)),
 		ErrorLog:          log.New(io.Discard, "", 0),
 		BaseContext:       func(net.Listener) context.Context { return g.ctx },
+		ConnState:         g.conns.turned,
 		// "OPTIONS *" is a request like any other.
 		DisableGeneralOptionsHandler: true,
 	}
@@ -107,18 +108,26 @@
 
 			continue
 		}
-		for {
-			g.mu.Lock()
-			feed := g.feed
-			g.mu.Unlock()
-			if feed.push(conn) {
-				break
-			}
-			if g.ctx.Err() != nil || g.leaving.Load() {
-				_ = conn.Close()
+		g.conns.accepted(conn)
+		g.hand(conn)
+	}
+}
 
-				break
-			}
+// hand gives a connection to the server in use, which a new plan may replace
+// meanwhile.
+func (g *Gateway) hand(conn net.Conn) {
+	for {
+		g.mu.Lock()
+		feed := g.feed
+		g.mu.Unlock()
+		if feed.push(conn) {
+			return
+		}
+		if g.ctx.Err() != nil {
+			_ = conn.Close()
+			g.conns.turned(conn, http.StateClosed)
+
+			return
 		}
 	}
 }
