Replace a control host only once the new one votes

TestSessions/repair was red once beside load: no leader for 20 s after the second host was killed, right after "replace peer 3".

Cause: replace was done when the new host was added as a learner; the old voter was removed at once. Voters c1 and c2, learner c4: with c1 gone no majority. The session's own wait accepted the list 1, 2, 3 (voters) and 4 (learner).

Shown by a trial with c4 stopped right after it was added: the same states as in the log of the red run (c2 prober, c4 follower without a leader). Ruled out: that c4 as a voter refuses its vote (in the trial it is no voter). Not shown: that the red run itself took this path; its log does not hold the members.

Change: damaskctl replace waits until the host votes before it removes the old one, pending after its timeout with nothing removed.

Before: TestReplacePeer "votes later" and "never votes" fail.

--- a/cmd/damaskctl/fake_test.go
+++ b/cmd/damaskctl/fake_test.go
@@ -21,6 +21,10 @@
 	answer func(cmd *wire.Command) *wire.Result
 	stale  bool
 	silent bool
+	// added is the host that a command added; it is shown as a learner for the next
+	// looks at the control hosts and as a voter after them.
+	added string
+	looks int
 }
 
 func newControl(t interface{ Fatal(args ...any) }) (c *control, addr string, stop func()) {
@@ -83,6 +87,9 @@
 			return nil
 		}
 	case cmd.GetPeering() != nil:
+		if cmd.GetPeering().GetVerb() == "add" {
+			c.added = cmd.GetPeering().GetAddr()
+		}
 		res = &wire.Result{Id: cmd.GetId(), Outcome: wire.Outcome_OUTCOME_DONE, Text: fmt.Sprint(cmd.GetPeering())}
 	default:
 		res = c.apply(cmd)
@@ -96,8 +103,17 @@
 	switch q.GetSubject() {
 	case "peers":
 		columns := []registrar.Column{{Name: "number", Unit: registrar.Number}, {Name: "addr"}, {Name: "role"}}
+		rows := [][]string{{"1", "10.0.0.1:7100", "leader"}, {"2", "10.0.0.2:7100", "follower"}}
+		if c.added != "" {
+			role := "voter"
+			if c.looks > 0 {
+				c.looks--
+				role = "learner"
+			}
+			rows = append(rows, []string{"9", c.added, role})
+		}
 
-		return registrar.Select(q, columns, [][]string{{"1", "10.0.0.1:7100", "leader"}, {"2", "10.0.0.2:7100", "follower"}})
+		return registrar.Select(q, columns, rows)
 	case "status":
 		columns := []registrar.Column{{Name: "name"}, {Name: "role"}, {Name: "force"}}
 
--- a/cmd/damaskctl/main_test.go
+++ b/cmd/damaskctl/main_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"math"
 	"os"
 	"path/filepath"
 	"strings"
@@ -114,21 +115,38 @@
 }
 
 // Guards against a replacement that removes the old host before the new one is
-// there.
+// there, or before it votes: until then the loss of one more host would leave no
+// majority.
 func TestReplacePeer(t *testing.T) {
-	c, addr, stop := newControl(t)
-	defer stop()
-	var out, errOut bytes.Buffer
-	args := []string{"damaskctl", "--control", addr, "run", "replace peer 2 10.0.0.9:7100"}
-	if got, want := run(t.Context(), args, nil, &out, &errOut), 0; got != want {
-		t.Fatalf("status: got %d, want %d: %s", got, want, errOut.String())
-	}
-	var got []string
-	for _, cmd := range c.commands {
-		got = append(got, cmd.GetPeering().GetVerb()+" "+cmd.GetPeering().GetAddr())
-	}
-	if got, want := strings.Join(got, ", "), "add 10.0.0.9:7100, remove 10.0.0.2:7100"; got != want {
-		t.Errorf("got %q, want %q", got, want)
+	for name, test := range map[string]struct {
+		looks  int // at the new host before it votes
+		status int
+		want   string
+	}{
+		"votes at once": {0, 0, "add 10.0.0.9:7100, remove 10.0.0.2:7100"},
+		"votes later":   {3, 0, "add 10.0.0.9:7100, remove 10.0.0.2:7100"},
+		"never votes":   {math.MaxInt, exitPending, "add 10.0.0.9:7100"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c, addr, stop := newControl(t)
+			defer stop()
+			c.looks = test.looks
+			var out, errOut bytes.Buffer
+			args := []string{"damaskctl", "--control", addr, "--timeout", "1s", "run", "replace peer 2 10.0.0.9:7100"}
+			if got, want := run(t.Context(), args, nil, &out, &errOut), test.status; got != want {
+				t.Fatalf("status: got %d, want %d: %s", got, want, errOut.String())
+			}
+			var got []string
+			for _, cmd := range c.commands {
+				if cmd.GetPeering().GetVerb() == "remove" && c.looks > 0 {
+					t.Errorf("removal: got it %d looks before the new host votes, want it later", c.looks)
+				}
+				got = append(got, cmd.GetPeering().GetVerb()+" "+cmd.GetPeering().GetAddr())
+			}
+			if got, want := strings.Join(got, ", "), test.want; got != want {
+				t.Errorf("got %q, want %q", got, want)
+			}
+		})
 	}
 }
 
--- a/cmd/damaskctl/run.go
+++ b/cmd/damaskctl/run.go
@@ -31,8 +31,9 @@
   add|replace peer NUMBER ADDR
   remove peer NUMBER
 
-Set creates an object or changes it. Replace adds the control host at ADDR and then
-removes the one with the number; if the second step fails, send remove peer.`
+Set creates an object or changes it. Replace adds the control host at ADDR, waits
+until it votes and then removes the one with the number; if one of the last two steps
+fails, send remove peer.`
 
 func (p *program) runCommand() *cli.Command {
 	return &cli.Command{
