Close idle connections when the drain begins, not when it ends

Cause: the wait for connections that owe an answer came before Shutdown, which was what closed the idle ones. While one long stream ran, callers went on sending on kept connections until the process ended 7.6 s after SIGTERM.

Change: Drain closes idle connections first (SetKeepAlivesEnabled), gives new ones 0.3 s for their first request, closes those that said nothing, and waits for the requests in flight.

Before: TestDrainDisconnectsSilentCallers fails. After: 9 of 9 with the other tests of the drain.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -130,24 +130,30 @@
 // drainPause is the time between two looks for requests in flight.
 const drainPause = 20 * time.Millisecond
 
-// Drain stops accepting, waits until each accepted connection has its answer or
-// ctx ends, and closes the gateway.
+// silentWait is how long a drain waits for the first request of connections that were
+// accepted just before it: some round trips from anywhere.
+const silentWait = 300 * time.Millisecond
+
+// Drain stops accepting and disconnects idle callers, waits until each request that
+// callers have sent is answered or ctx ends, and closes the gateway.
 func (g *Gateway) Drain(ctx context.Context) error {
 	g.Leave()
 	_ = g.accept.Close()
 	defer g.Close()
 	<-g.handed
-	if err := g.conns.wait(ctx); err != nil {
-		return errors.Newf("wait for callers, %d requests in flight: %w", g.active.Load(), err)
-	}
 	g.mu.Lock()
-	servers := g.servers
+	for _, server := range g.servers {
+		// It also closes the idle connections.
+		server.SetKeepAlivesEnabled(false)
+	}
 	g.mu.Unlock()
-	for _, server := range servers {
-		// What is left is idle, but for a request that has just reached a kept connection.
-		if err := server.Shutdown(ctx); err != nil {
-			return errors.Newf("wait for %d requests in flight: %w", g.active.Load(), err)
-		}
+	first, cancel := context.WithTimeout(ctx, silentWait)
+	defer cancel()
+	if g.conns.wait(first, http.StateNew) != nil {
+		g.s.Log.Info().Int("callers", g.conns.closeSilent()).Msg("closed connections without a request")
+	}
+	if err := g.conns.wait(ctx, http.StateNew, http.StateActive); err != nil {
+		return errors.Newf("wait for callers, %d requests in flight: %w", g.active.Load(), err)
 	}
 
 	return nil
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -12,6 +12,8 @@
 	"testing"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/damasklever/damasklever/internal/borrower"
 	"github.com/damasklever/damasklever/internal/gateway"
 	"github.com/damasklever/damasklever/internal/placer"
@@ -273,19 +275,46 @@
 	}
 }
 
-// Guards against a drain that waits for a caller who has connected and says nothing.
-func TestDrainEndsBesideSilentCaller(t *testing.T) {
-	r := newRig(t, nil)
-	conn, err := (&net.Dialer{}).DialContext(t.Context(), "tcp", r.gateway.Addr())
-	if err != nil {
-		t.Fatal(err)
+// Guards against a drain that keeps connections on which nothing is asked open while
+// a long answer runs: callers would send requests that get no time any more.
+func TestDrainDisconnectsSilentCallers(t *testing.T) {
+	begun, release := make(chan struct{}), make(chan struct{})
+	a := newBackend(t, "a", func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/once/slow" {
+			close(begun)
+			<-release
+		}
+		io.WriteString(w, "whole")
+	})
+	r := newRig(t, nil, a.server(placer.Plain))
+	dial := func() net.Conn {
+		conn, err := (&net.Dialer{}).DialContext(t.Context(), "tcp", r.gateway.Addr())
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { conn.Close() })
+
+		return conn
 	}
-	defer conn.Close()
-	r.call(t, http.MethodPost, "/once/x", "", nil)
-	ctx, cancel := context.WithTimeout(t.Context(), patience)
-	defer cancel()
-	if err := r.gateway.Drain(ctx); err != nil {
-		t.Errorf("drain: got %v, want its end once the time for a header is over", err)
+	silent, kept, slow := dial(), dial(), dial()
+	exchange(t, kept, http.MethodPost, "/once/x", "", nil)
+	answer := make(chan result, 1)
+	go func() { answer <- exchange(t, slow, http.MethodPost, "/once/slow", "", nil) }()
+	<-begun
+	ended := make(chan error, 1)
+	go func() { ended <- r.gateway.Drain(context.Background()) }()
+	for name, conn := range map[string]net.Conn{"silent": silent, "kept": kept} {
+		conn.SetReadDeadline(time.Now().Add(patience))
+		if _, err := conn.Read(make([]byte, 1)); !errors.Is(err, io.EOF) {
+			t.Errorf("%s caller: got %v, want the end of its connection", name, err)
+		}
+	}
+	close(release)
+	if got := <-answer; got.body != "whole" || got.broken {
+		t.Errorf("answer in flight: got %+v, want a whole one", got)
+	}
+	if err := <-ended; err != nil {
+		t.Errorf("drain: got %v, want no error", err)
 	}
 }
 
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -108,7 +108,7 @@
 
 			continue
 		}
-		g.conns.accepted(conn)
+		g.conns.turned(conn, http.StateNew)
 		g.hand(conn)
 	}
 }
