Refuse a late request at once while the backlog does not clear

A request that can no longer be in time waits only if, at the rate of late grants in the last 4 s at this entry, those before it and itself are expected to get memory before it gives up. One of each line always waits, so that the end of the burst is noticed.

The gain is for callers: they are told within their target instead of at the end of their time. Test: TestBacklog plays the load and counts who is held in vain and who is served.

--- /dev/null
+++ b/internal/gateway/backlog_test.go
@@ -0,0 +1,87 @@
+package gateway
+
+import (
+	"testing"
+	"time"
+)
+
+// Answers the load of a burst: late requests arrive every 0.3 s, wait 5 s at most, and
+// get memory in the order of their arrival at the times of the case. Guards against
+// requests that are held and then refused, and against the refusal of one that would
+// have been served.
+func TestBacklog(t *testing.T) {
+	const (
+		apart  = 300 * time.Millisecond
+		left   = 5 * time.Second
+		length = 40 * time.Second
+		tick   = 50 * time.Millisecond
+	)
+	for name, test := range map[string]struct {
+		// free is the time between two grants, at a moment since the start; 0 for none.
+		free func(since time.Duration) time.Duration
+		// held is the most that may be held in vain, and served the least that gets
+		// memory, of all in 100.
+		held, served int
+	}{
+		"full for good":    {func(time.Duration) time.Duration { return 0 }, 7, 0},
+		"room for all":     {func(time.Duration) time.Duration { return apart }, 0, 90},
+		"room for a third": {func(time.Duration) time.Duration { return 3 * apart }, 7, 28},
+		"full for 20 s": {func(since time.Duration) time.Duration {
+			if since < 20*time.Second {
+				return 0
+			}
+
+			return apart
+		}, 7, 40},
+	} {
+		t.Run(name, func(t *testing.T) {
+			b, l := newBacklog(), line{"pool", 2}
+			begin := time.Unix(0, 0)
+			var waiting []time.Time
+			var next, freed time.Duration
+			all, held, served := 0, 0, 0
+			for since := time.Duration(0); since < length; since += tick {
+				now := begin.Add(since)
+				for len(waiting) > 0 && now.Sub(waiting[0]) >= left {
+					waiting = waiting[1:]
+					held++
+					b.leave(now, l, false)
+				}
+				if gap := test.free(since); gap > 0 && since-freed >= gap {
+					freed = since
+					if len(waiting) > 0 {
+						waiting = waiting[1:]
+						served++
+						b.leave(now, l, true)
+					}
+				}
+				if since >= next {
+					next += apart
+					all++
+					if b.enter(now, l, left) {
+						waiting = append(waiting, now)
+					}
+				}
+			}
+			if got, want := 100*held/all, test.held; got > want {
+				t.Errorf("held in vain: got %d in 100, want %d at most", got, want)
+			}
+			if got, want := 100*served/all, test.served; got < want {
+				t.Errorf("served: got %d in 100, want %d at least", got, want)
+			}
+		})
+	}
+}
+
+// Guards against ranks or pools that are refused because of the wait of others.
+func TestBacklogLines(t *testing.T) {
+	b, now := newBacklog(), time.Unix(0, 0)
+	for _, l := range []line{{"a", 0}, {"a", 1}, {"b", 0}} {
+		if got, want := b.enter(now, l, time.Second), true; got != want {
+			t.Errorf("first of %v: got %v, want %v", l, got, want)
+		}
+	}
+	if got, want := b.enter(now, line{"a", 0}, time.Second), false; got != want {
+		t.Errorf("second of a line without grants: got %v, want %v", got, want)
+	}
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -25,9 +25,10 @@
 	meters *meters
 	accept net.Listener
 	// handed is closed when each accepted connection is with an HTTP server.
-	handed chan struct{}
-	conns  *connections
-	feed   *feed
+	handed  chan struct{}
+	conns   *connections
+	backlog *backlog
+	feed    *feed
 
 	leaving atomic.Bool
 	active  atomic.Int64    // requests in flight
@@ -51,7 +52,7 @@
 	}
 	g := &Gateway{
 		s: s, meters: newMeters(), done: make(chan struct{}), budgets: make(map[string]*admitter.Budget),
-		handed: make(chan struct{}), conns: newConnections(),
+		handed: make(chan struct{}), conns: newConnections(), backlog: newBacklog(),
 	}
 	if err := registry.Register(g.meters); err != nil {
 		return nil, errors.Newf("register metrics of gateway: %w", err)
--- a/internal/gateway/reserve.go
+++ b/internal/gateway/reserve.go
@@ -132,41 +132,43 @@
 }
 
 // borrowDecode asks for memory, first for an answer in time, then for a late one
-// below all that can be in time. It returns the rank that was granted.
+// below all that can be in time, if the backlog is expected to clear. It returns the
+// rank that was granted.
 func (f *flight) borrowDecode(candidates []placer.Candidate, need int) (*borrower.Grant, int, error) {
 	a := borrower.Ask{
 		ID: f.hints.ID, Phase: wire.Phase_PHASE_DECODE, Tokens: need, Cost: f.duration(), Service: f.pool, Caller: "-",
+		Rank: int(f.path.GetRank()),
 	}
 	servers := f.askable(candidates, need)
-	rank := int(f.path.GetRank())
-	lead := f.reading() + leadTime
 	target := time.Duration(f.path.GetTarget()) * time.Millisecond
-	for _, try := range []struct {
-		rank  int
-		limit time.Duration
-	}{{rank, target}, {rank + lateRanks, f.patience() - answerMargin}} {
-		spent := f.g.s.Timer.Now().Sub(f.begun)
-		wait := try.limit - lead - spent
-		if wait <= 0 {
-			continue
-		}
-		// The lender only refuses what cannot even be late: its estimate is too rough
-		// to give up a request that may still be in time.
-		a.Rank, a.Due = try.rank, f.patience()-lead-spent
-		grant, err := f.askFor(wait, a, servers)
-		f.noteAsk(a, servers, grant, err)
-		var refused *borrower.RefusedError
-		switch {
-		case err == nil:
-			return grant, try.rank, nil
-		case errors.As(err, &refused):
-			return nil, 0, refused
-		case !errors.Is(err, errLate):
-			return nil, 0, err
-		}
+	grant, err := f.askFor(target, a, servers)
+	if errors.Is(err, errLate) {
+		grant, err = f.askLate(&a, servers)
 	}
+	switch {
+	case err == nil:
+		return grant, a.Rank, nil
+	case errors.Is(err, errLate):
+		return nil, 0, &borrower.RefusedError{Reason: "deadline", After: f.comeBack(candidates)}
+	default:
+		return nil, 0, err
+	}
+}
+
+// askLate asks for a request that can no longer be in time.
+func (f *flight) askLate(a *borrower.Ask, servers []string) (*borrower.Grant, error) {
+	limit := f.patience() - answerMargin
+	l, now := line{f.pool, a.Rank}, f.g.s.Timer.Now()
+	if left := limit - f.lead() - now.Sub(f.begun); !f.g.backlog.enter(now, l, left) {
+		f.g.s.Log.Info().Str("id", f.hints.ID).Int("rank", l.rank).Dur("left", left).Msg("late and not expected to get memory")
 
-	return nil, 0, &borrower.RefusedError{Reason: "deadline", After: f.comeBack(candidates)}
+		return nil, errLate
+	}
+	a.Rank += lateRanks
+	grant, err := f.askFor(limit, *a, servers)
+	f.g.backlog.leave(f.g.s.Timer.Now(), l, err == nil)
+
+	return grant, err
 }
 
 // errLate ends the wait for a grant that would come too late.
@@ -176,13 +178,26 @@
 // reaches it, so that it comes back.
 const answerMargin = 300 * time.Millisecond
 
-// askFor asks and gives up after a time.
-func (f *flight) askFor(wait time.Duration, a borrower.Ask, servers []string) (*borrower.Grant, error) {
+// lead is what the first event takes after the memory is granted.
+func (f *flight) lead() time.Duration { return f.reading() + leadTime }
+
+// askFor asks for memory, and gives up with errLate when the first event can no longer
+// come within a time from the request's arrival.
+func (f *flight) askFor(limit time.Duration, a borrower.Ask, servers []string) (*borrower.Grant, error) {
+	spent := f.g.s.Timer.Now().Sub(f.begun) + f.lead()
+	if limit <= spent {
+		return nil, errLate
+	}
+	// The lender only refuses what cannot even be late: its estimate is too rough to
+	// give up a request that may still be in time.
+	a.Due = f.patience() - spent
 	ctx, cancel := context.WithCancelCause(f.ctx)
 	defer cancel(nil)
-	defer f.g.s.Timer.After(wait, func(time.Time) { cancel(errLate) })()
+	defer f.g.s.Timer.After(limit-spent, func(time.Time) { cancel(errLate) })()
+	grant, err := f.g.s.Lenders.Ask(ctx, a, servers)
+	f.noteAsk(a, servers, grant, err)
 
-	return f.g.s.Lenders.Ask(ctx, a, servers) //nolint:wrapcheck // the borrower says what it waited for
+	return grant, err //nolint:wrapcheck // the borrower says what it waited for
 }
 
 // askable returns the servers to ask: the best ones while they have room to
