Count a crashed server as down at once

The crashed servers looked emptiest, so one request was sent to three of them in 0.4 s, and each time a prompt was read for nothing.

Change: where nothing listens any more (connection refused) the server is down with that report, not after the time that a silent one gets.

Ruled out by the same logs: late lists (the entries had the servers' agents as up), prompts that expired (their frees were answered). Test: TestCrashedServerIsDownAtOnce failed before (10 s); it also holds that a server that is silent for a moment stays.

--- a/internal/borrower/borrower_test.go
+++ b/internal/borrower/borrower_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -226,6 +227,34 @@
 	}
 }
 
+// Guards against a crashed server whose memory looks free, so that everything is sent
+// there, until the time after which a silent one counts as down.
+func TestCrashedServerIsDownAtOnce(t *testing.T) {
+	clock := timer.New()
+	t.Cleanup(clock.Close)
+	g := &gauge{report: lender.Report{Phase: lender.Decode, Total: 1600, Born: 1}}
+	l, err := lender.New(lender.Settings{
+		Listen: "127.0.0.1:0", Server: "s", Gauge: g, Timer: clock, Look: 10 * time.Millisecond, Lost: 10 * patience,
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := l.Start(); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(l.Close)
+	waitFor(t, "the server", l.Ready)
+	g.set(func(*lender.Report) {}, errors.Newf("ask for the report: %w", syscall.ECONNREFUSED))
+	waitFor(t, "the loss of a crashed server", func() bool { return !l.Ready() })
+	g.set(func(*lender.Report) {}, nil)
+	waitFor(t, "its return", l.Ready)
+	g.set(func(*lender.Report) {}, errors.New("no answer in time"))
+	<-time.After(100 * time.Millisecond)
+	if got, want := l.Ready(), true; got != want {
+		t.Errorf("a server that has been silent for a moment is lent: got %v, want %v", got, want)
+	}
+}
+
 // Guards against memory that counts as lent after the server has started again.
 func TestServerRestarts(t *testing.T) {
 	p := newPair(t)
--- a/internal/lender/watch.go
+++ b/internal/lender/watch.go
@@ -3,8 +3,11 @@
 import (
 	"context"
 	"strings"
+	"syscall"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/damasklever/damasklever/internal/granter"
 )
 
@@ -36,7 +39,10 @@
 	l.looking = false
 	now := l.s.Timer.Now()
 	if err != nil {
-		if !l.down && now.Sub(l.heard) >= l.s.Lost {
+		// Where nothing listens any more the server's process is gone, and what it held
+		// with it: its memory must not look free for another moment.
+		gone := errors.Is(err, syscall.ECONNREFUSED)
+		if !l.down && (gone || now.Sub(l.heard) >= l.s.Lost) {
 			l.down = true
 			l.s.Log.Warn().Dur("silent", now.Sub(l.heard)).Err(err).Msg("server lost")
 			l.drop(now)
