Look at a server before lending memory that broken work gave back

An agent noticed a crash only with its next report (each 0.25 s), and until then lent the memory of the broken requests again.

Change: an entry says with the release of a grant that the server could not be reached or broke the work off (Release.broken). The agent asks the server for its report at once and lends that memory only after the answer; if nothing listens, the server is down.

Tests: TestBrokenWorkIsCheckedFirst (fails if the doubt is ignored), TestStreamDoubtsBrokenServer.

--- a/internal/borrower/borrower.go
+++ b/internal/borrower/borrower.go
@@ -189,17 +189,21 @@
 	Server string
 	// Wait is how long it took.
 	Wait    time.Duration
-	release func()
+	release func(broken bool)
 	once    sync.Once
 }
 
 // NewGrant returns a grant that release gives back.
-func NewGrant(server string, release func()) *Grant { return &Grant{Server: server, release: release} }
+func NewGrant(server string, release func(broken bool)) *Grant {
+	return &Grant{Server: server, release: release}
+}
 
 // Release gives the grant back.
-func (g *Grant) Release() {
-	g.once.Do(g.release)
-}
+func (g *Grant) Release() { g.once.Do(func() { g.release(false) }) }
+
+// Broken gives the grant back and says that the server could not be reached or broke
+// the work off: it may be gone.
+func (g *Grant) Broken() { g.once.Do(func() { g.release(true) }) }
 
 // RefusedError says that no server would grant an ask.
 type RefusedError struct {
@@ -247,7 +251,7 @@
 			if v.granted {
 				withdraw(asked)
 
-				g := NewGrant(v.link.server, func() { v.link.release(v.id) })
+				g := NewGrant(v.link.server, func(broken bool) { v.link.release(v.id, broken) })
 				g.Wait = b.s.Timer.Now().Sub(begun)
 
 				return g, nil
--- a/internal/borrower/borrower_test.go
+++ b/internal/borrower/borrower_test.go
@@ -255,6 +255,50 @@
 	}
 }
 
+// Guards against memory of a crashed server that is lent again because its work was
+// broken off, and against memory that stays lent where only the connection was.
+func TestBrokenWorkIsCheckedFirst(t *testing.T) {
+	for name, test := range map[string]struct {
+		err  error
+		want bool
+	}{
+		"server crashed":    {syscall.ECONNREFUSED, false},
+		"connection broken": {nil, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			clock := timer.New()
+			t.Cleanup(clock.Close)
+			g := &gauge{report: lender.Report{Phase: lender.Decode, Total: 1600, Born: 1}}
+			// No report is asked for but at the start and for a doubt.
+			l, err := lender.New(lender.Settings{
+				Listen: "127.0.0.1:0", Server: "s", Gauge: g, Timer: clock, Look: 10 * patience, Lost: 20 * patience,
+			})
+			if err != nil {
+				t.Fatal(err)
+			}
+			if err := l.Start(); err != nil {
+				t.Fatal(err)
+			}
+			t.Cleanup(l.Close)
+			p := &pair{gauge: g, lender: l, borrower: startBorrower(t, clock, "e1"), clock: clock}
+			p.borrower.SetLenders(map[string]string{"s": l.Addr()})
+			waitFor(t, "a session", func() bool { load, ok := p.borrower.Load("s"); return ok && !load.Leaving })
+			full := p.must(t, ask("full", 0, 1500, patience))
+			next := make(chan bool, 1)
+			go func() {
+				_, err := p.borrower.Ask(context.WithoutCancel(t.Context()), ask("next", 0, 1500, patience), []string{"s"})
+				next <- err == nil
+			}()
+			waitFor(t, "the next ask", func() bool { load, _ := p.borrower.Load("s"); return load.Queued == 1 })
+			g.set(func(*lender.Report) {}, test.err)
+			full.Broken()
+			if got := <-next; got != test.want {
+				t.Errorf("next ask is granted: got %v, want %v", got, test.want)
+			}
+		})
+	}
+}
+
 // Guards against memory that counts as lent after the server has started again.
 func TestServerRestarts(t *testing.T) {
 	p := newPair(t)
--- a/internal/borrower/link.go
+++ b/internal/borrower/link.go
@@ -208,11 +208,11 @@
 
 // release ends a grant. If there is no session, the next one tells that it is
 // not used any more.
-func (l *link) release(id string) {
+func (l *link) release(id string, broken bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	delete(l.held, id)
-	l.post(&wire.Call{Body: &wire.Call_Release{Release: &wire.Release{Id: id}}})
+	l.post(&wire.Call{Body: &wire.Call_Release{Release: &wire.Release{Id: id, Broken: broken}}})
 }
 
 // post queues a call. It needs the lock. What a session that is down holds is
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -379,6 +379,36 @@
 	}
 }
 
+// Guards against a lender that is not told of a server which cannot be reached, or
+// broke off, and against doubt about one that answered.
+func TestStreamDoubtsBrokenServer(t *testing.T) {
+	gone := newBackend(t, "gone", breaking)
+	gone.Close()
+	for name, test := range map[string]struct {
+		server *backend
+		broken int
+	}{
+		"not reached": {gone, 1},
+		"broken off":  {newBackend(t, "torn", events(1, 2, false)), 1},
+		"failed":      {newBackend(t, "bad", answering(http.StatusInternalServerError, "bad")), 0},
+		"whole":       {newBackend(t, "whole", events(1, 3, true)), 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			l := &lenders{}
+			r := newRig(t, l, test.server.server(placer.Decode))
+			r.call(t, http.MethodPost, "/stream/x", "prompt", http.Header{"Prompt": {"5000"}})
+			if err := r.gateway.Drain(t.Context()); err != nil {
+				t.Fatal(err)
+			}
+			l.mu.Lock()
+			defer l.mu.Unlock()
+			if l.released == 0 || l.broken < test.broken || test.broken == 0 && l.broken > 0 {
+				t.Errorf("broken of %d grants: got %d, want %d", l.released, l.broken, test.broken)
+			}
+		})
+	}
+}
+
 // Guards against a prompt that is read before there is memory for its answer, and
 // against memory that stays lent.
 func TestStreamBorrows(t *testing.T) {
--- a/internal/gateway/reserve.go
+++ b/internal/gateway/reserve.go
@@ -42,12 +42,17 @@
 	prefill *borrower.Grant
 }
 
-// release gives back what is still held.
-func (r *reservation) release() {
-	for _, g := range []*borrower.Grant{r.decode, r.prefill} {
-		if g != nil {
-			g.Release()
-		}
+// release gives back what is still held, after a send that ended so.
+func (r *reservation) release(e end) {
+	switch {
+	case r.decode == nil:
+	case e == endUnsent || e == endBroken:
+		r.decode.Broken()
+	default:
+		r.decode.Release()
+	}
+	if r.prefill != nil {
+		r.prefill.Release()
 	}
 }
 
--- a/internal/gateway/rig_test.go
+++ b/internal/gateway/rig_test.go
@@ -246,6 +246,7 @@
 	asks     []borrower.Ask
 	refuse   func(ctx context.Context, a borrower.Ask) error
 	released int
+	broken   int // of the released ones
 }
 
 func (l *lenders) Load(string) (borrower.Load, bool) {
@@ -262,9 +263,12 @@
 		}
 	}
 
-	return borrower.NewGrant(servers[0], func() {
+	return borrower.NewGrant(servers[0], func(broken bool) {
 		l.mu.Lock()
 		defer l.mu.Unlock()
 		l.released++
+		if broken {
+			l.broken++
+		}
 	}), nil
 }
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -30,7 +30,7 @@
 		now := f.g.s.Timer.Now()
 		c := r.choice
 		got, e, err := f.generate(r, out)
-		r.release()
+		r.release(e)
 		f.g.s.Placer.Done(c.Server.ID)
 		f.note(c, now, e, err)
 		if e == endFailed {
@@ -87,7 +87,11 @@
 	if c.Prefill != nil {
 		begun := f.g.s.Timer.Now()
 		handle, err := f.prefill(c.Prefill)
-		if r.prefill != nil {
+		switch {
+		case r.prefill == nil:
+		case err != nil && f.ctx.Err() == nil:
+			r.prefill.Broken()
+		default:
 			r.prefill.Release()
 		}
 		if err != nil {
--- a/internal/lender/client.go
+++ b/internal/lender/client.go
@@ -61,7 +61,7 @@
 		case *wire.Call_Withdraw:
 			l.withdraw(body.Withdraw.GetId())
 		case *wire.Call_Release:
-			l.release(body.Release.GetId())
+			l.release(body.Release.GetId(), body.Release.GetBroken()) //nolint:contextcheck // a look outlives the session
 		}
 	}
 }
--- a/internal/lender/lender.go
+++ b/internal/lender/lender.go
@@ -47,10 +47,14 @@
 	heard   time.Time // last report
 	down    bool
 	looking bool
-	leaving bool // this process is shutting down
-	clients map[string]*client
-	granted map[string]string      // entry by grant
-	waiting map[string]granter.Ask // asks without a decision
+	// doubted are the grants whose work the server may have broken off. Their memory is
+	// lent again after a report that was asked for later; checked are those that the
+	// report under way is for.
+	doubted, checked []string
+	leaving          bool // this process is shutting down
+	clients          map[string]*client
+	granted          map[string]string      // entry by grant
+	waiting          map[string]granter.Ask // asks without a decision
 }
 
 // New checks the settings; Start accepts entries.
@@ -197,10 +201,23 @@
 	}
 }
 
-// release ends a grant whose work has ended.
-func (l *Lender) release(id string) {
+// release ends a grant whose work has ended. If it was broken off, the server may be
+// gone, and its memory, which looks free, would draw all other work there.
+func (l *Lender) release(id string, broken bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if broken && !l.down {
+		l.s.Log.Info().Str("id", id).Msg("server is in doubt")
+		l.doubted = append(l.doubted, id)
+		l.lookLocked()
+
+		return
+	}
+	l.free(id)
+}
+
+// free ends a grant. It needs the lock.
+func (l *Lender) free(id string) {
 	delete(l.granted, id)
 	if l.granter != nil {
 		l.deliver(l.granter.Release(l.s.Timer.Now(), id))
--- a/internal/lender/watch.go
+++ b/internal/lender/watch.go
@@ -18,10 +18,16 @@
 func (l *Lender) look() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	l.lookLocked()
+}
+
+// lookLocked needs the lock.
+func (l *Lender) lookLocked() {
 	if l.looking || l.ctx.Err() != nil {
 		return
 	}
 	l.looking = true
+	l.checked, l.doubted = append(l.checked, l.doubted...), nil
 	l.work.Add(1)
 	go func() {
 		defer l.work.Done()
@@ -37,6 +43,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.looking = false
+	defer l.clear(err)
 	now := l.s.Timer.Now()
 	if err != nil {
 		// Where nothing listens any more the server's process is gone, and what it held
@@ -65,6 +72,20 @@
 	}
 }
 
+// clear lends the memory of grants whose server has answered since they were broken
+// off, and looks again for those that came meanwhile. It needs the lock.
+func (l *Lender) clear(err error) {
+	if err == nil || l.down {
+		for _, id := range l.checked {
+			l.free(id)
+		}
+		l.checked = nil
+	}
+	if err == nil && len(l.doubted) > 0 {
+		l.lookLocked()
+	}
+}
+
 // reserve keeps back the memory of requests that run without a grant: their entry
 // was frozen or cut off for longer than its lease, or could not reach this
 // process. A request must be in two reports, since a grant may have been given
