Give up a silent prefill server after four times the reading

Cause (by reading, and the test): a prefill server that accepts a call and falls silent was noticed by keep-alive probes after 2 s only, or not at all while its process lived; the request waited until it was due.

Test: TestStreamSilentPrefill failed before (503 after 5 s).

--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -409,6 +409,29 @@
 	}
 }
 
+// Guards against a request that waits for a prefill server which has fallen silent.
+func TestStreamSilentPrefill(t *testing.T) {
+	ended := make(chan struct{})
+	pre := newBackend(t, "pre", func(_ http.ResponseWriter, r *http.Request) {
+		// The server notices the end of a request only once it has read the body.
+		io.Copy(io.Discard, r.Body)
+		<-r.Context().Done()
+		close(ended)
+	})
+	dec := newBackend(t, "dec", events(1, 1, true))
+	r := newRig(t, &lenders{}, dec.server(placer.Decode), pre.server(placer.Prefill))
+	begun := time.Now()
+	got := r.call(t, http.MethodPost, "/stream/x", "prompt", http.Header{"Prompt": {"5000"}})
+	if got.body != event1 {
+		t.Errorf("stream: got %d %q, want %q", got.status, got.body, event1)
+	}
+	// The target of the path, counted from the request.
+	if got, want := time.Since(begun), time.Second; got > want {
+		t.Errorf("time: got %v, want %v at most", got, want)
+	}
+	<-ended
+}
+
 // Guards against a prompt that is read before there is memory for its answer, and
 // against memory that stays lent.
 func TestStreamBorrows(t *testing.T) {
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -190,11 +190,22 @@
 	return endGone
 }
 
+// silentRatio is how many times the reading of a prompt its server may take: twice as
+// long as with another prompt beside it. A server that falls silent later than that
+// leaves no time for the decode server to read the prompt itself.
+const silentRatio = 4
+
+// errSilent ends the wait for a prefill server.
+var errSilent = errors.New("the prefill server is silent")
+
 // prefill has a server read the prompt and returns the handle under which it
 // keeps it.
 func (f *flight) prefill(s *placer.Server) (string, error) {
 	defer f.g.s.Placer.Done(s.ID)
-	response, err := f.g.s.Courier.Do(f.ctx, s.Addr, f.request(Send{Server: s.ID, Prefill: true}))
+	ctx, cancel := context.WithCancelCause(f.ctx)
+	defer cancel(nil)
+	defer f.g.s.Timer.After(silentRatio*f.reading()+leadTime, func(time.Time) { cancel(errSilent) })()
+	response, err := f.g.s.Courier.Do(ctx, s.Addr, f.request(Send{Server: s.ID, Prefill: true}))
 	if err != nil {
 		f.g.s.Placer.Failed(f.g.s.Timer.Now(), s.ID)
 
