Check framing, Host and time of a header in the product's own listener

Cause: nbhttp drops blanks before a colon, so that "Content-Length : 1" and "Transfer-Encoding : chunked" were obeyed, which a balancer in front may read otherwise; it checks no Host, and a header that is never finished was only bounded by the idle time of two minutes.

Change: the bytes of the header are kept while it is parsed, and a blank before a colon is 400; one Host header is needed but for HTTP/1.0; a header has 10 s from its first byte (setting Head, driven clock), then 408.

Found on the way: the parser reports a header at its CR, so the line may not be whole yet (TestBlankBeforeColonInPieces, cut after 50 bytes). Before: 5 new cases of TestBadInput failed but the folded header, which passed.

--- a/internal/listener/input.go
+++ b/internal/listener/input.go
@@ -30,8 +30,11 @@
 	completed bool
 	limit     int64
 	body      int64
-	lengths   int // Content-Length and Transfer-Encoding headers
+	lengths   int  // Content-Length and Transfer-Encoding headers
+	hosts     int  // Host headers
+	old       bool // HTTP/1.0, which has no Host
 	expect    bool
+	lines     lines
 }
 
 func (i *input) attach(p *peer, parser *nbhttp.Parser) {
@@ -75,7 +78,7 @@
 	if own := i.p.l.backend.Limit(path); own > 0 && own < i.limit {
 		i.limit = own
 	}
-	i.head, i.body, i.lengths, i.expect = 0, 0, 0, false
+	i.head, i.body, i.lengths, i.hosts, i.expect = 0, 0, 0, 0, false
 	if len(uri) > i.p.l.settings.Header {
 		i.fault = tooMuchHeader()
 	}
@@ -83,14 +86,26 @@
 	return i.Processor.OnURL(parser, uri) //nolint:wrapcheck // reported as malformed input
 }
 
+// OnProto implements nbhttp.Processor.
+func (i *input) OnProto(parser *nbhttp.Parser, proto string) error {
+	i.old = proto == "HTTP/1.0"
+
+	return i.Processor.OnProto(parser, proto) //nolint:wrapcheck // reported as malformed input
+}
+
 // OnHeader implements nbhttp.Processor.
 func (i *input) OnHeader(parser *nbhttp.Parser, key, value string) {
 	switch key {
 	case "Content-Length", "Transfer-Encoding":
 		i.lengths++
+	case "Host":
+		i.hosts++
 	case "Expect":
 		i.expect = strings.EqualFold(value, "100-continue")
 	}
+	if i.lines.blank(key) {
+		i.fault = &fault{http.StatusBadRequest, "a header has a blank before its colon"}
+	}
 	i.head += len(key) + len(value)
 	if i.head > i.p.l.settings.Header {
 		i.fault = tooMuchHeader()
@@ -106,6 +121,8 @@
 	case i.lengths > 1:
 		// Two lengths could hide a second request from a balancer.
 		i.fault = &fault{http.StatusBadRequest, "the request has more than one length"}
+	case i.hosts > 1 || i.hosts == 0 && !i.old:
+		i.fault = &fault{http.StatusBadRequest, "the request must have one Host header"}
 	case int64(n) > i.limit:
 		i.fault = tooMuchBody()
 	case i.expect:
--- a/internal/listener/input_test.go
+++ b/internal/listener/input_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/damasklever/damasklever/internal/listener"
 )
@@ -53,6 +54,15 @@
 			"POST /s/d/p HTTP/1.1\r\nHost: h\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\nx",
 			400, "length",
 		},
+		"space before a colon": {
+			"POST /s/d/p HTTP/1.1\r\nHost: h\r\nTransfer-Encoding : chunked\r\n\r\n0\r\n\r\n", 400, "header",
+		},
+		"space before the colon of a length": {
+			"POST /s/d/p HTTP/1.1\r\nHost: h\r\nContent-Length : 1\r\n\r\nx", 400, "header",
+		},
+		"folded header":    {"POST /s/d/p HTTP/1.1\r\nHost: h\r\nA: b\r\n c\r\nContent-Length: 1\r\n\r\nx", 400, "header"},
+		"no host":          {"POST /s/d/p HTTP/1.1\r\nContent-Length: 1\r\n\r\nx", 400, "Host"},
+		"two hosts":        {"POST /s/d/p HTTP/1.1\r\nHost: a\r\nHost: b\r\nContent-Length: 1\r\n\r\nx", 400, "Host"},
 		"header too long":  {post("/s/d/p", "x", "A: "+big), 431, "headers"},
 		"many headers":     {post("/s/d/p", "x", strings.Split(strings.Repeat("A: b,", 700)+"A: b", ",")...), 431, "headers"},
 		"endless header":   {"POST /s/d/p HTTP/1.1\r\nA: " + strings.Repeat(big, 100), 431, "headers"},
@@ -109,6 +119,62 @@
 	}
 }
 
+// Guards against a header that is never finished and keeps its connection.
+func TestHeaderTime(t *testing.T) {
+	l, clock := start(t, echo(), listener.Settings{Head: 3 * time.Second})
+	request := post("/s/d/p", "x")
+	conn, reader := wireup(t, l)
+	io.WriteString(conn, request[:20])
+	clock.Advance(2 * time.Second)
+	io.WriteString(conn, request[20:])
+	if got, want := receive(t, reader).status, 201; got != want {
+		t.Errorf("header in two pieces, in time: got %d, want %d", got, want)
+	}
+	io.WriteString(conn, request[:20])
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		if got, want := receive(t, reader), 408; got.status != want || !got.close {
+			t.Errorf("header that is never finished: got %d, closes %v, want %d and the end", got.status, got.close, want)
+		}
+	}()
+	tick := time.NewTicker(time.Millisecond)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ended:
+			return
+		case <-tick.C:
+			clock.Advance(time.Second)
+		}
+	}
+}
+
+// Guards against a blank before a colon that is not seen because the header comes in
+// pieces, or that is seen in a body.
+func TestBlankBeforeColonInPieces(t *testing.T) {
+	bad := "POST /s/d/p HTTP/1.1\r\nHost: h\r\nContent-Length : 1\r\n\r\nx"
+	good := post("/s/d/p", "Content-Length : 1\r\nHost : h\r\n", "A: b : c")
+	for name, test := range map[string]struct {
+		request string
+		want    int
+	}{"in the header": {bad, 400}, "in a body and in a value": {good, 201}} {
+		t.Run(name, func(t *testing.T) {
+			for cut := 1; cut < len(test.request); cut++ {
+				l, _ := start(t, echo(), listener.Settings{})
+				conn, reader := wireup(t, l)
+				io.WriteString(conn, test.request[:cut])
+				<-time.After(time.Millisecond) // so that the pieces are read apart
+				go io.WriteString(conn, test.request[cut:])
+				if got := receive(t, reader).status; got != test.want {
+					t.Errorf("cut after %d bytes: got %d, want %d", cut, got, test.want)
+				}
+				l.Close()
+			}
+		})
+	}
+}
+
 // Guards against a caller who sends without reading and fills the memory.
 func TestTooManyPipelined(t *testing.T) {
 	l, _ := start(t, echo(), listener.Settings{Pipeline: 2})
--- a/internal/listener/peer.go
+++ b/internal/listener/peer.go
@@ -38,6 +38,8 @@
 	mu    sync.Mutex
 	queue []*exchange // the first one is running
 	last  bool        // no request after those in the queue
+	// header stops the time for the header that is being received, nil if none is.
+	header func()
 
 	out out
 }
@@ -60,6 +62,7 @@
 // gone is called after the connection is closed.
 func (p *peer) gone() {
 	p.cancel()
+	p.bound(false)
 	p.out.mu.Lock()
 	defer p.out.mu.Unlock()
 	if p.out.stop != nil {
@@ -74,9 +77,14 @@
 	}
 	p.partial.Store(true) // these bytes have left the kernel's buffer
 	p.input.attach(p, parser)
+	kept := p.input.heading > 0
+	p.input.lines.feed(data, kept)
 	p.input.heading += len(data)
 	p.input.completed = false
 	err := parser.Parse(data)
+	heading := !p.input.inBody && !p.input.completed
+	p.input.lines.settle(kept, heading)
+	p.bound(heading)
 	p.partial.Store(!p.input.completed)
 	p.used.Store(true) // after partial, so that a drain sees one or the other
 	if f := p.input.verdict(data, err, p.l.settings.Header); f != nil {
@@ -86,6 +94,25 @@
 	}
 }
 
+// bound ends a connection whose header takes too long, from its first byte on.
+func (p *peer) bound(heading bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	switch {
+	case heading && p.header == nil && p.ctx.Err() == nil:
+		p.header = p.l.timers.After(p.l.settings.Head, func(time.Time) {
+			p.faulty.Store(true)
+			p.dropping.Store(true)
+			p.enqueue(&exchange{
+				fault: &fault{http.StatusRequestTimeout, "the header was not finished in time"}, close: true,
+			})
+		})
+	case !heading && p.header != nil:
+		p.header()
+		p.header = nil
+	}
+}
+
 // enqueue runs an exchange after those that came before it.
 func (p *peer) enqueue(e *exchange) {
 	p.mu.Lock()
