Tell own runs from foreign ones where request ids have slashes

Cause (found while writing the test that follows ids through the logs): an agent cut the id of a grant at its first slash to get the request's id. With an id such as "a/b" the request's own run counted as one without a grant, and its memory was kept back a second time.

Change: the id is cut at the last slash, behind which the borrower's number is. Before: TestForeignRuns, with such an id and a look at what stays: 400 free tokens instead of 1,200 (without the look the test passed on a moment's value).

--- a/internal/borrower/borrower_test.go
+++ b/internal/borrower/borrower_test.go
@@ -331,8 +331,13 @@
 	p := newPair(t)
 	p.gauge.set(func(r *lender.Report) { r.Runs = map[string]int{"foreign": 700} }, nil)
 	waitFor(t, "less free memory", func() bool { l, _ := p.borrower.Load("s"); return l.Free <= 500 })
-	g := p.must(t, ask("own", 0, 400, patience))
-	p.gauge.set(func(r *lender.Report) { r.Runs = map[string]int{"own": 400} }, nil)
+	g := p.must(t, ask("a/caller's/own", 0, 400, patience))
+	p.gauge.set(func(r *lender.Report) { r.Runs = map[string]int{"a/caller's/own": 400} }, nil)
 	waitFor(t, "all memory but that lent", func() bool { l, _ := p.borrower.Load("s"); return l.Free == 1200 })
+	// Some more reports of the same work.
+	<-time.After(100 * time.Millisecond)
+	if l, _ := p.borrower.Load("s"); l.Free != 1200 {
+		t.Errorf("free memory while the own work runs on: got %d, want 1200", l.Free)
+	}
 	g.Release()
 }
--- a/internal/lender/watch.go
+++ b/internal/lender/watch.go
@@ -96,8 +96,9 @@
 	}
 	lent := make(map[string]bool, len(l.granted))
 	for id := range l.granted {
-		request, _, _ := strings.Cut(id, "/")
-		lent[request] = true
+		// The borrower has put its own number behind the request's id, in which a caller
+		// may have used slashes too.
+		lent[id[:max(strings.LastIndexByte(id, '/'), 0)]] = true
 	}
 	foreign := 0
 	for request, tokens := range l.report.Runs {
