Write the log of the product's own processes to standard output

Change: control, entry and agent log through reporter.Pipe, as on the platform. What ends a start is still said on standard error. The demo keeps its log there, since its output is for a person.

--- a/cmd/damasklever/demo.go
+++ b/cmd/damasklever/demo.go
@@ -81,7 +81,7 @@
 
 	return &demo{
 		out: out, clock: timer.New(), folder: folder, began: time.Now(),
-		logger: newLogger(configurer.Process{Name: "demo", Level: level}, "demo"),
+		logger: newLogger(configurer.Process{Name: "demo", Level: level}, "demo", os.Stderr),
 	}, nil
 }
 
--- a/cmd/damasklever/process.go
+++ b/cmd/damasklever/process.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"os"
 	"os/signal"
 	"syscall"
@@ -26,6 +27,8 @@
 	common   configurer.Process
 	registry *prometheus.Registry
 	logger   *log.Logger
+	// pipe keeps a reader of standard output that is slow from holding up requests.
+	pipe *reporter.Pipe
 	// drain bounds the graceful shutdown.
 	drain time.Duration
 	start func(ctx context.Context) error
@@ -44,18 +47,24 @@
 	registry.MustRegister(collectors.NewGoCollector(),
 		collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 
-	return role{common: common, registry: registry, logger: newLogger(common, name)}
+	pipe := reporter.NewPipe(os.Stdout)
+
+	return role{common: common, registry: registry, pipe: pipe, logger: newLogger(common, name, pipe)}
 }
 
-// newLogger writes one key=value line per event to standard error.
-func newLogger(p configurer.Process, name string) *log.Logger {
-	return reporter.New(reporter.Settings{Role: name, Name: p.Name, Level: p.Level, Writer: os.Stderr})
+// newLogger writes one key=value line per event.
+func newLogger(p configurer.Process, name string, out io.Writer) *log.Logger {
+	return reporter.New(reporter.Settings{Role: name, Name: p.Name, Level: p.Level, Writer: out})
 }
 
 // run starts the role and its operations port and waits until the role ends or
 // a signal asks for a graceful shutdown. Further signals change nothing,
 // because an impatient supervisor must not cut requests off.
 func (r role) run(ctx context.Context) error {
+	defer func() {
+		r.pipe.Close()
+		<-r.pipe.Done()
+	}()
 	signals := make(chan os.Signal, 1)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
 	defer signal.Stop(signals)
