--- /dev/null
+++ b/internal/controller/keeper_test.go
@@ -0,0 +1,69 @@
+package controller_test
+
+import (
+	"context"
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"github.com/damasklever/damasklever/internal/controller"
+	"github.com/damasklever/damasklever/internal/reporter"
+	"github.com/damasklever/damasklever/internal/timer"
+	"github.com/damasklever/damasklever/internal/wire"
+)
+
+// Guards against a control host that stays away once its disk can be used again, and
+// against an answer from none.
+func TestKeeperOpensAgain(t *testing.T) {
+	clock := timer.New()
+	t.Cleanup(clock.Close)
+	folder := filepath.Join(t.TempDir(), "data")
+	// A file in place of the folder stands for a disk that cannot be used.
+	if err := os.WriteFile(folder, nil, 0o600); err != nil {
+		t.Fatal(err)
+	}
+	opened := make(chan struct{}, 64)
+	k := controller.NewKeeper(func() controller.Settings {
+		opened <- struct{}{}
+
+		return controller.Settings{
+			Number: 1, Listen: "127.0.0.1:0", Folder: folder, Timer: clock, Log: reporter.Discard(),
+			Members: []*wire.Member{{Number: 1, Addr: "127.0.0.1:0"}},
+		}
+	}, clock, reporter.Discard())
+	ctx, cancel := context.WithCancel(t.Context())
+	go k.Run(ctx)
+	limit := time.NewTimer(20 * time.Second)
+	defer limit.Stop()
+	for range 2 {
+		select {
+		case <-opened:
+		case <-limit.C:
+			t.Fatal("second opening: got none, want it after the first has failed")
+		}
+	}
+	if _, err := k.Plan(ctx); err == nil || k.Ready() {
+		t.Errorf("while none is open: got %v and ready %v, want an error and false", err, k.Ready())
+	}
+	if got, want := k.Replace(ctx, &wire.Plan{Version: 1}).GetOutcome(), wire.Outcome_OUTCOME_REFUSED; got != want {
+		t.Errorf("change while none is open: got %v, want %v", got, want)
+	}
+	if err := os.Remove(folder); err != nil {
+		t.Fatal(err)
+	}
+	look := time.NewTicker(10 * time.Millisecond)
+	defer look.Stop()
+	for !k.Ready() {
+		select {
+		case <-look.C:
+		case <-limit.C:
+			t.Fatal("ready: got false, want true once the disk can be used")
+		}
+	}
+	if got := k.Dump(); !got.Founded {
+		t.Errorf("dump: got %+v, want a founded host", got)
+	}
+	cancel()
+	<-k.Done()
+}
