Bound the wait for a reader of the log when a process ends

Cause (reading the diff): since the log goes through a pipe, a process that stops waits for its last lines to be written. If nobody reads its output and the kernel's buffer is full, it never ends by itself.

Also renames connections.turned to follow.

--- a/cmd/damasklever/process.go
+++ b/cmd/damasklever/process.go
@@ -61,10 +61,7 @@
 // a signal asks for a graceful shutdown. Further signals change nothing,
 // because an impatient supervisor must not cut requests off.
 func (r role) run(ctx context.Context) error {
-	defer func() {
-		r.pipe.Close()
-		<-r.pipe.Done()
-	}()
+	defer r.pipe.Flush()
 	signals := make(chan os.Signal, 1)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
 	defer signal.Stop(signals)
--- a/internal/gateway/connections.go
+++ b/internal/gateway/connections.go
@@ -23,9 +23,9 @@
 	return &connections{owing: make(map[net.Conn]http.ConnState)}
 }
 
-// turned follows a connection, from when it is accepted, which is before any HTTP
+// follow notes the state of a connection, from when it is accepted, which is before any HTTP
 // server knows of it.
-func (c *connections) turned(conn net.Conn, state http.ConnState) {
+func (c *connections) follow(conn net.Conn, state http.ConnState) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	switch state {
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -79,7 +79,7 @@
 		MaxHeaderBytes:    int(max(b.header-headSlack, headSlack)),
 		ErrorLog:          log.New(io.Discard, "", 0),
 		BaseContext:       func(net.Listener) context.Context { return g.ctx },
-		ConnState:         g.conns.turned,
+		ConnState:         g.conns.follow,
 		// "OPTIONS *" is a request like any other.
 		DisableGeneralOptionsHandler: true,
 	}
@@ -108,7 +108,7 @@
 
 			continue
 		}
-		g.conns.turned(conn, http.StateNew)
+		g.conns.follow(conn, http.StateNew)
 		g.hand(conn)
 	}
 }
@@ -125,7 +125,7 @@
 		}
 		if g.ctx.Err() != nil {
 			_ = conn.Close()
-			g.conns.turned(conn, http.StateClosed)
+			g.conns.follow(conn, http.StateClosed)
 
 			return
 		}
--- a/internal/reporter/reporter.go
+++ b/internal/reporter/reporter.go
@@ -113,5 +113,20 @@
 	}
 }
 
+// flushTime is how long the end of a process waits for a reader of its log.
+const flushTime = 500 * time.Millisecond
+
+// Flush ends the pipe and gives what waits a bounded time to be written: a reader that
+// stands still must not keep the process.
+func (p *Pipe) Flush() {
+	p.Close()
+	limit := time.NewTimer(flushTime)
+	defer limit.Stop()
+	select {
+	case <-p.done:
+	case <-limit.C:
+	}
+}
+
 // Done is closed when the pipe has ended.
 func (p *Pipe) Done() <-chan struct{} { return p.done }
--- a/internal/reporter/reporter_test.go
+++ b/internal/reporter/reporter_test.go
@@ -5,6 +5,7 @@
 	"strings"
 	"sync"
 	"testing"
+	"time"
 
 	"github.com/damasklever/damasklever/internal/reporter"
 )
@@ -45,3 +46,36 @@
 		t.Errorf("first line: got %q", strings.SplitN(text, "\n", 2)[0])
 	}
 }
+
+// Guards against a process that does not end because nobody reads its log, and against
+// the loss of its last lines where somebody does.
+func TestFlush(t *testing.T) {
+	for name, read := range map[string]bool{"nobody reads": false, "somebody reads": true} {
+		t.Run(name, func(t *testing.T) {
+			out := &stuck{release: make(chan struct{})}
+			p := reporter.NewPipe(out)
+			l := reporter.New(reporter.Settings{Role: "entry", Name: "e", Level: "info", Writer: p})
+			l.Info().Msg("stopped")
+			if read {
+				close(out.release)
+			}
+			flushed := make(chan struct{})
+			go func() {
+				defer close(flushed)
+				p.Flush()
+			}()
+			select {
+			case <-flushed:
+			case <-time.After(10 * time.Second):
+				t.Fatal("flush: got no end in 10 s, want one after a bounded time")
+			}
+			if !read {
+				close(out.release)
+				<-p.Done()
+			}
+			if got, want := out.got.String(), "msg=stopped"; !strings.Contains(got, want) {
+				t.Errorf("log: got %q, want %q in it", got, want)
+			}
+		})
+	}
+}
