--- a/internal/gateway/meter.go
+++ b/internal/gateway/meter.go
@@ -21,7 +21,7 @@
 		seconds: prometheus.NewHistogramVec(prometheus.HistogramOpts{
 			Name: "damasklever_gateway_seconds", Help: "Time from a request's arrival to its end.",
 			Buckets: prometheus.ExponentialBuckets(0.005, 2, 12),
-		}, []string{"pool", "rank"}),
+		}, []string{"pool", "rank", "status"}),
 	}
 }
 
@@ -38,7 +38,7 @@
 }
 
 func (m *meters) observe(pool string, rank int32, status int, took time.Duration) {
-	r := strconv.Itoa(int(rank))
-	m.requests.WithLabelValues(pool, r, strconv.Itoa(status)).Inc()
-	m.seconds.WithLabelValues(pool, r).Observe(took.Seconds())
+	r, s := strconv.Itoa(int(rank)), strconv.Itoa(status)
+	m.requests.WithLabelValues(pool, r, s).Inc()
+	m.seconds.WithLabelValues(pool, r, s).Observe(took.Seconds())
 }
