Heed servers that leave or want a rest, and bound what they send

Cause: a server's own word that it leaves (or wants a rest) was not read, so that the lagging host list decided; net/http bounds no status line and no header, so that one server without end grew an entry by gigabytes; a refused prompt reading was not counted, though it is an arrival beyond the first, so that full prefill servers broke the retry budget of the service; a second send to the same server used a kept connection, on which a late copy of the first answer bears the same id.

Ruled out: limits by time alone (gigabytes within 2.5 s); taking a budget token before each prompt reading (an entry of a large fleet has about one, lent turns would starve).

Change: notices bar a server in the placer; a head is bounded to 64 kB, a body that is held to 256 kB, longer plain answers are passed on as they come; refused readings are charged; a further send to a server uses a fresh connection.

--- a/internal/admitter/budget.go
+++ b/internal/admitter/budget.go
@@ -27,13 +27,22 @@
 // First counts the first send of a request.
 func (b *Budget) First(now time.Time) { b.firsts.add(now, 1, b.window) }
 
+// Left tells whether a further send is allowed.
+func (b *Budget) Left(now time.Time) bool {
+	allowed := math.Max(b.spare, b.fraction*b.firsts.read(now, b.window))
+
+	return b.repeats.read(now, b.window)+1 <= allowed
+}
+
+// Charge counts a further send that was not asked for before.
+func (b *Budget) Charge(now time.Time) { b.repeats.add(now, 1, b.window) }
+
 // Repeat takes one further send and tells whether there was one left.
 func (b *Budget) Repeat(now time.Time) bool {
-	allowed := math.Max(b.spare, b.fraction*b.firsts.read(now, b.window))
-	if b.repeats.read(now, b.window)+1 > allowed {
+	if !b.Left(now) {
 		return false
 	}
-	b.repeats.add(now, 1, b.window)
+	b.Charge(now)
 
 	return true
 }
--- a/internal/courier/courier.go
+++ b/internal/courier/courier.go
@@ -37,6 +37,8 @@
 	maxStray = 4
 	// maxStrayBytes bounds the body of a response that is skipped.
 	maxStrayBytes = 1 << 20
+	// maxHead bounds the bytes of the status line and the headers of one response.
+	maxHead = 64 << 10
 )
 
 // Settings of a courier.
@@ -82,10 +84,14 @@
 	opened uint64
 }
 
+// errLongHead ends a response whose head has no end.
+var errLongHead = errors.New("the head of the response is over the limit")
+
 // line is one connection.
 type line struct {
 	net.Conn
 	reader *bufio.Reader
+	head   *headLimit
 	used   time.Time
 	expiry time.Duration
 }
@@ -152,7 +158,7 @@
 // An error marked ErrNotSent means that the server has not seen it; after any
 // other error it may have run. The connection is closed when ctx ends.
 func (c *Courier) Do(ctx context.Context, addr string, r *Request) (*Response, error) {
-	l, err := c.take(ctx, addr)
+	l, err := c.take(ctx, addr, r.Fresh)
 	if err != nil {
 		return nil, errors.Mark(errors.Newf("connect to %s: %w", addr, err), ErrNotSent)
 	}
@@ -173,21 +179,23 @@
 	return response, nil
 }
 
-// take returns a connection that is kept, or opens one.
-func (c *Courier) take(ctx context.Context, addr string) (*line, error) {
+// take returns a connection that is kept, unless a fresh one is asked for, or opens one.
+func (c *Courier) take(ctx context.Context, addr string, fresh bool) (*line, error) {
 	if err := ctx.Err(); err != nil {
 		return nil, errors.Newf("take connection: %w", err)
 	}
-	for {
+	for !fresh {
 		l := c.pop(addr)
 		if l == nil {
-			return c.dial(ctx, addr)
+			break
 		}
 		if time.Since(l.used) < l.expiry && quiet(l.Conn) {
 			return l, nil
 		}
 		_ = l.Close()
 	}
+
+	return c.dial(ctx, addr)
 }
 
 func (c *Courier) pop(addr string) *line {
@@ -218,7 +226,36 @@
 	c.opened++
 	c.mu.Unlock()
 
-	return &line{Conn: conn, reader: bufio.NewReaderSize(conn, readBuffer)}, nil
+	head := &headLimit{in: conn}
+
+	return &line{Conn: conn, reader: bufio.NewReaderSize(head, readBuffer), head: head}, nil
+}
+
+// headLimit bounds what is read while a head is expected, since net/http does not.
+// It is used by one goroutine at a time.
+type headLimit struct {
+	in      io.Reader
+	bounded bool
+	left    int
+}
+
+// begin bounds what follows, up to end.
+func (h *headLimit) begin() { h.bounded, h.left = true, maxHead }
+
+func (h *headLimit) end() { h.bounded = false }
+
+// Read implements io.Reader.
+func (h *headLimit) Read(p []byte) (int, error) {
+	if !h.bounded {
+		return h.in.Read(p) //nolint:wrapcheck // io.Reader passes io.EOF on
+	}
+	if h.left <= 0 {
+		return 0, errLongHead
+	}
+	n, err := h.in.Read(p[:min(len(p), h.left)])
+	h.left -= n
+
+	return n, err //nolint:wrapcheck // io.Reader passes io.EOF on
 }
 
 // put keeps a connection for the next request.
--- a/internal/courier/exchange.go
+++ b/internal/courier/exchange.go
@@ -21,6 +21,8 @@
 	// Header holds end-to-end headers only; the length is added.
 	Header http.Header
 	Body   []byte
+	// Fresh asks for a connection that no request has used.
+	Fresh bool
 }
 
 func (r *Request) write(w io.Writer) error {
@@ -57,7 +59,9 @@
 // receive reads heads until one belongs to the request.
 func (e *exchange) receive(r *Request) (*Response, error) {
 	for range maxStray {
+		e.line.head.begin()
 		head, err := http.ReadResponse(e.line.reader, &http.Request{Method: r.Method}) //nolint:bodyclose // the caller of Do closes it
+		e.line.head.end()
 		if err != nil {
 			return nil, errors.Newf("read response: %w", err)
 		}
--- a/internal/gateway/dialect.go
+++ b/internal/gateway/dialect.go
@@ -40,6 +40,16 @@
 	Last string
 }
 
+// Notice is what a response says of its server beside the answer itself.
+type Notice struct {
+	// Leaving tells that the server is about to stop.
+	Leaving bool
+	// Rest is how long the server wants no further request; 0 if it does not say.
+	Rest time.Duration
+	// Fault describes a part of the notice that could not be read; nil if there is none.
+	Fault error
+}
+
 // Dialect translates between HTTP headers and the gateway's types.
 type Dialect interface {
 	// Hints reads what the caller says. The error tells the caller what is wrong.
@@ -49,6 +59,8 @@
 	Header(caller http.Header, s Send) http.Header
 	// Refused tells whether a response says that the request has not run.
 	Refused(status int, h http.Header) bool
+	// Notice reads what a response says of its server.
+	Notice(status int, h http.Header) Notice
 	// Handle reads the answer to a send with Prefill.
 	Handle(body []byte) (string, error)
 	// Free is the request that gives back what a server keeps under a handle.
--- a/internal/gateway/events.go
+++ b/internal/gateway/events.go
@@ -13,7 +13,7 @@
 var errCaller = errors.New("the caller is gone")
 
 // maxEvent bounds one event.
-const maxEvent = 1 << 20
+const maxEvent = maxHeld
 
 // events passes whole events on to the caller, also from a second server.
 type events struct {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -193,6 +193,21 @@
 	return g.budget(pool).Repeat(g.s.Timer.Now())
 }
 
+// spared tells whether the budget of a pool has room for a further send.
+func (g *Gateway) spared(pool string) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+
+	return g.budget(pool).Left(g.s.Timer.Now())
+}
+
+// charge counts a further send of a pool.
+func (g *Gateway) charge(pool string) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.budget(pool).Charge(g.s.Timer.Now())
+}
+
 func (g *Gateway) budget(pool string) *admitter.Budget {
 	b := g.budgets[pool]
 	if b == nil {
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"io"
 	"net/http"
 
 	"github.com/cockroachdb/errors"
@@ -15,6 +16,8 @@
 	status int
 	header http.Header
 	body   []byte
+	// rest is what follows a body that is too long to hold; nil if body is all.
+	rest io.ReadCloser
 }
 
 // end says how one send ended.
@@ -104,18 +107,28 @@
 
 // call sends the request to one server and reads the whole answer.
 func (f *flight) call(s *placer.Server) (*answer, end, error) {
-	response, err := f.g.s.Courier.Do(f.ctx, s.Addr, f.request(Send{Server: s.ID}))
+	response, err := f.send(f.ctx, s, Send{Server: s.ID})
 	if err != nil {
 		return nil, f.broken(s, err), err
 	}
 	f.sent(s)
-	body, err := readAll(response)
+	body, ended, err := readHeld(response)
 	if err != nil {
 		return nil, f.broken(s, err), err
 	}
 	got := &answer{status: response.Status, header: response.Header, body: body}
+	e := f.judge(s, response)
+	switch {
+	case ended:
+	case e == endAnswered:
+		got.rest = response.Body
+	default:
+		_ = response.Body.Close()
+
+		return nil, f.broken(s, errLong), errLong
+	}
 
-	return got, f.judge(s, response), nil
+	return got, e, nil
 }
 
 // judge says what a response means and tells the placer.
@@ -147,7 +160,7 @@
 	case f.ctx.Err() != nil && !errors.Is(err, errDue):
 		return endGone
 	}
-	f.g.s.Placer.Failed(f.g.s.Timer.Now(), s.ID)
+	f.doubt(s, err)
 	if unsent {
 		return endUnsent
 	}
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"bytes"
 	"context"
 	"io"
 	"net/http"
@@ -34,9 +33,13 @@
 	due     time.Time
 	// sends counts the servers that the request was sent to.
 	sends int
+	// reads counts the prefill servers that accepted the prompt.
+	reads int
 	// ran tells that a send may have run.
 	ran   bool
 	avoid []string
+	// met are the servers that were sent anything of this request.
+	met []string
 }
 
 // errDue ends a request whose answer is due.
@@ -165,13 +168,3 @@
 	f.sends++
 	f.avoid = append(f.avoid, s.ID)
 }
-
-// readAll reads a body of a known end. A body that ends early is an error.
-func readAll(r *courier.Response) ([]byte, error) {
-	var b bytes.Buffer
-	if _, err := b.ReadFrom(r.Body); err != nil {
-		return nil, errors.Newf("read body: %w", err)
-	}
-
-	return b.Bytes(), nil
-}
--- a/internal/gateway/reply.go
+++ b/internal/gateway/reply.go
@@ -40,6 +40,11 @@
 
 // pass gives a server's whole answer to the caller.
 func (f *flight) pass(a *answer) {
+	if a.rest != nil {
+		f.passLong(a)
+
+		return
+	}
 	if f.r.Method != http.MethodHead {
 		a.header.Set("Content-Length", strconv.Itoa(len(a.body)))
 	}
@@ -48,6 +53,34 @@
 	f.finish("passed", a.status, err)
 }
 
+// passLong passes an answer on as it comes, since it is too long to hold. It is cut if
+// the server breaks off.
+func (f *flight) passLong(a *answer) {
+	defer func() { _ = a.rest.Close() }()
+	f.head(a.status, a.header)
+	piece := a.body
+	buffer := make([]byte, passBuffer)
+	for {
+		if f.write(piece) != nil {
+			f.gone()
+		}
+		n, err := a.rest.Read(buffer)
+		piece = buffer[:n]
+		switch {
+		case err == nil:
+		case isEnd(err):
+			f.finish("passed", a.status, f.write(piece))
+
+			return
+		default:
+			f.cut(endBroken)
+		}
+	}
+}
+
+// passBuffer is the memory for an answer that is passed on as it comes.
+const passBuffer = 16 << 10
+
 // write sends bytes to the caller at once.
 func (f *flight) write(b []byte) error {
 	rc := http.NewResponseController(f.w)
@@ -73,6 +106,11 @@
 
 // absent refuses a request because no server can be reached.
 func (f *flight) absent() {
+	if rest := f.g.s.Placer.Resting(f.g.s.Timer.Now(), f.pool); rest > 0 {
+		f.refuse("all servers want a rest", rest)
+
+		return
+	}
 	f.g.s.Missing()
 	f.refuse("no server", f.g.s.Absent)
 }
--- a/internal/gateway/rig_test.go
+++ b/internal/gateway/rig_test.go
@@ -58,6 +58,12 @@
 }
 
 func (dialect) Refused(_ int, h http.Header) bool  { return h.Get("Refused") != "" }
+func (dialect) Notice(_ int, h http.Header) gateway.Notice {
+	rest, _ := time.ParseDuration(h.Get("Rest"))
+
+	return gateway.Notice{Leaving: h.Get("Leaving") != "", Rest: rest}
+}
+
 func (dialect) Handle(body []byte) (string, error) { return string(body), nil }
 
 func (dialect) Free(_ *placer.Server, handle string) *courier.Request {
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -85,19 +85,7 @@
 	c := r.choice
 	send := Send{Server: c.Server.ID, Last: out.last}
 	if c.Prefill != nil {
-		begun := f.g.s.Timer.Now()
-		handle, err := f.prefill(c.Prefill)
-		switch {
-		case r.prefill == nil:
-		case err != nil && f.ctx.Err() == nil:
-			r.prefill.Broken()
-		default:
-			r.prefill.Release()
-		}
-		if err != nil {
-			// The decode server reads the prompt itself.
-			f.note(placer.Choice{Server: c.Prefill}, begun, endBroken, err)
-		} else {
+		if handle := f.readApart(r); handle != "" {
 			send.Source, send.Handle = c.Prefill.Addr, handle
 		}
 	}
@@ -125,7 +113,7 @@
 
 // decode sends the request to its decode server and passes the events on.
 func (f *flight) decode(c placer.Choice, send Send, out *events) (*answer, end, error) {
-	response, err := f.g.s.Courier.Do(f.ctx, c.Server.Addr, f.request(send))
+	response, err := f.send(f.ctx, c.Server, send)
 	if err != nil {
 		f.free(c.Prefill, send.Handle)
 
@@ -190,48 +178,6 @@
 	return endGone
 }
 
-// silentRatio is how many times the reading of a prompt its server may take: twice as
-// long as with another prompt beside it. A server that falls silent later than that
-// leaves no time for the decode server to read the prompt itself.
-const silentRatio = 4
-
-// errSilent ends the wait for a prefill server.
-var errSilent = errors.New("the prefill server is silent")
-
-// prefill has a server read the prompt and returns the handle under which it
-// keeps it.
-func (f *flight) prefill(s *placer.Server) (string, error) {
-	defer f.g.s.Placer.Done(s.ID)
-	ctx, cancel := context.WithCancelCause(f.ctx)
-	defer cancel(nil)
-	defer f.g.s.Timer.After(silentRatio*f.reading()+leadTime, func(time.Time) { cancel(errSilent) })()
-	response, err := f.g.s.Courier.Do(ctx, s.Addr, f.request(Send{Server: s.ID, Prefill: true}))
-	if err != nil {
-		f.g.s.Placer.Failed(f.g.s.Timer.Now(), s.ID)
-
-		return "", errors.Newf("prefill: %w", err)
-	}
-	defer func() { _ = response.Body.Close() }()
-	body, err := readAll(response)
-	if err != nil {
-		f.g.s.Placer.Failed(f.g.s.Timer.Now(), s.ID)
-
-		return "", errors.Newf("prefill: %w", err)
-	}
-	if response.Status != http.StatusOK {
-		f.g.s.Placer.Failed(f.g.s.Timer.Now(), s.ID)
-
-		return "", errors.Newf("prefill: status %d", response.Status)
-	}
-	handle, err := f.g.s.Dialect.Handle(body)
-	if err != nil {
-		return "", errors.Newf("prefill: %w", err)
-	}
-	f.g.s.Placer.Read(f.g.s.Timer.Now(), s.ID)
-
-	return handle, nil
-}
-
 // free gives back a prompt that was read in vain, unless its server does so by
 // itself soon after.
 func (f *flight) free(s *placer.Server, handle string) {
@@ -245,7 +191,7 @@
 		defer cancel()
 		response, err := f.g.s.Courier.Do(ctx, s.Addr, f.g.s.Dialect.Free(s, handle))
 		if err == nil {
-			_, err = io.Copy(io.Discard, response.Body)
+			_, err = io.Copy(io.Discard, io.LimitReader(response.Body, maxHeld))
 			_ = response.Body.Close()
 		}
 		f.g.s.Log.Info().Str("id", f.hints.ID).Str("server", s.ID).Err(err).Msg("prompt freed")
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -133,6 +133,10 @@
 	reads    time.Time
 	failures int
 	avoid    time.Time // until then other servers go first
+	rests    time.Time // until then it gets nothing
+	// left tells that the server itself said that it leaves; drains that the host list
+	// has said so since.
+	left, drains bool
 }
 
 // New returns a placer that knows no servers.
@@ -158,6 +162,7 @@
 			st = &state{}
 		}
 		st.Server = s
+		st.follow(s.Leaving)
 		p.servers[s.ID] = st
 		p.pools[s.Pool] = append(p.pools[s.Pool], st)
 	}
@@ -265,7 +270,7 @@
 	for _, st := range p.pools[q.Pool] {
 		// A request can do without a prefill server, but not without a decode server.
 		trusted := stage != Prefill || !st.avoid.After(now)
-		if st.Leaving || st.Stage != stage || !trusted || slices.Contains(q.Avoid, st.ID) {
+		if st.barred(now) || st.Stage != stage || !trusted || slices.Contains(q.Avoid, st.ID) {
 			continue
 		}
 		l, ok := lent(st.ID)
@@ -344,7 +349,7 @@
 	var bestClass, same int
 	var bestCost time.Duration
 	for _, st := range p.pools[q.Pool] {
-		if st.Leaving || st.Stage != stage || slices.Contains(q.Avoid, st.ID) {
+		if st.barred(now) || st.Stage != stage || slices.Contains(q.Avoid, st.ID) {
 			continue
 		}
 		class := 0
