Read the host list at the leader of the control hosts and pass it on

Cause: each entry read the whole list every second.

Ruled out: the replicated log as the carrier (a disk that stalls would hold the list up, and age must show without an entry each second); entries that elect a reader among themselves (they do not know each other); reading at every control host (six times the calls, and no order between the readings).

Change: the leader reads once a second; its term fences what a deposed leader offers. It sends the other control hosts the readings, and each passes on to its entries what changed, with the age. Another control host reads only when the newest reading is two seconds old, an entry only when that has lasted, spread over a time that grows with the number of entries. A reading that cannot be taken apart changes nothing.

--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -13,6 +13,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/damasklever/damasklever/internal/lister"
 	"github.com/damasklever/damasklever/internal/messenger"
 	"github.com/damasklever/damasklever/internal/recorder"
 	"github.com/damasklever/damasklever/internal/replicator"
@@ -76,8 +77,9 @@
 	fault     error                      // ends the event loop
 	updates   map[uint64]*wire.Update    // by the index asked for, since the last change
 	members   *wire.Members
-	counting  bool                  // a census is running
-	announced uint64                // mark that the other members were told
+	counting  bool   // a census is running
+	announced uint64 // mark that the other members were told
+	hosts     hostList
 	missing   map[entryID]time.Time // entry processes with claims that are not attached, since when
 }
 
@@ -98,7 +100,7 @@
 		ticks: make(chan time.Time, 1), looped: make(chan struct{}), started: make(chan struct{}), done: make(chan struct{}),
 		waiting: make(map[uint64]*waiter), reading: make(map[uint64]chan replicator.Read),
 		arrivals: make(map[uint64][]chan struct{}), updates: make(map[uint64]*wire.Update),
-		attachments: newAttachments(), marks: newMarks(),
+		attachments: newAttachments(), marks: newMarks(), hosts: hostList{board: lister.NewBoard()},
 	}
 	st, err := rec.Load()
 	if err != nil {
@@ -182,6 +184,9 @@
 	stop := c.s.Timer.Every(c.s.Heartbeat/ticksPerHeartbeat, c.tick)
 	defer stop()
 	defer c.s.Timer.Every(min(censusInterval, c.s.Absent/3), func(time.Time) { c.post(c.startCensus) })()
+	if c.s.Hosts != nil {
+		defer c.s.Timer.Every(c.s.List/listLooks, func(time.Time) { c.post(c.list) })()
+	}
 	if c.s.Repair {
 		defer c.s.Timer.Every(repairInterval, func(time.Time) { c.post(c.trim) })()
 		c.work.Add(1)
--- a/internal/controller/marks.go
+++ b/internal/controller/marks.go
@@ -74,6 +74,11 @@
 
 		return
 	}
+	if l := m.GetListing(); l != nil {
+		c.takeListing(l)
+
+		return
+	}
 	c.core.Step(c.s.Timer.Now(), m)
 }
 
--- a/internal/controller/server.go
+++ b/internal/controller/server.go
@@ -9,6 +9,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/damasklever/damasklever/internal/lister"
 	"github.com/damasklever/damasklever/internal/messenger"
 	"github.com/damasklever/damasklever/internal/wire"
 )
@@ -110,7 +111,7 @@
 			c.attachments.beat(attachment, &b)
 		}
 	}()
-	c.feed(ctx, s, a.GetIndex())
+	c.feed(ctx, s, a)
 	cancel()
 	_ = s.Close()
 	<-registered
@@ -153,8 +154,9 @@
 	}
 }
 
-// feed sends an update at each change and a pulse at each interval.
-func (c *Controller) feed(ctx context.Context, s *messenger.Stream, sent uint64) {
+// feed sends an update at each change and a pulse at each interval, and to entries the
+// host list with it.
+func (c *Controller) feed(ctx context.Context, s *messenger.Stream, a *wire.Attach) {
 	// The first pulse follows the first update at once: a subscriber refuses
 	// bookings until it knows that this host hears from a majority.
 	pulse := make(chan struct{}, 1)
@@ -166,9 +168,16 @@
 		}
 	})
 	defer stop()
-	first := true
+	sent, first := a.GetIndex(), true
+	var held *lister.Listing
 	for ctx.Err() == nil {
-		changed := c.attachments.changed()
+		changed, listed := c.attachments.changed(), c.hosts.board.Changed()
+		if a.GetRole() == entryRole {
+			var err error
+			if held, err = c.sendListing(s, held); err != nil {
+				return
+			}
+		}
 		next, err := c.sendUpdate(s, sent, first)
 		if err != nil {
 			return
@@ -178,6 +187,7 @@
 		case <-ctx.Done():
 		case <-changed:
 			c.pause(ctx, updateInterval)
+		case <-listed:
 		case <-pulse:
 			if c.sendPulse(s, sent) != nil {
 				return
--- a/internal/controller/settings.go
+++ b/internal/controller/settings.go
@@ -8,6 +8,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/phuslu/log"
 
+	"github.com/damasklever/damasklever/internal/lister"
 	"github.com/damasklever/damasklever/internal/recorder"
 	"github.com/damasklever/damasklever/internal/registrar"
 	"github.com/damasklever/damasklever/internal/reporter"
@@ -24,6 +25,9 @@
 	defaultForce     = time.Second
 	defaultAbsent    = 15 * time.Second
 	defaultCompact   = 10_000
+	// defaultList leaves two readings within the few seconds after which a leaving server
+	// must get no new work.
+	defaultList = time.Second
 	// defaultSize bears the loss of one host.
 	defaultSize = 3
 )
@@ -92,6 +96,11 @@
 	// Seed of the randomised election timeout; 0 draws one.
 	Seed uint64
 
+	// Hosts reads the host list, which the leader passes on to entries; nil if there is
+	// none.
+	Hosts lister.Source
+	// List is the time between two readings of it.
+	List time.Duration
 	// State is the replicated state machine; nil for a new registrar.
 	State State
 	// Files is the data directory; nil for Folder.
@@ -110,6 +119,7 @@
 	setDuration(&s.Commit, defaultCommit)
 	setDuration(&s.Force, defaultForce)
 	setDuration(&s.Absent, defaultAbsent)
+	setDuration(&s.List, defaultList)
 	if s.Number == 0 {
 		s.Number = 1
 	}
--- a/internal/gateway/rig_test.go
+++ b/internal/gateway/rig_test.go
@@ -57,7 +57,7 @@
 	return h
 }
 
-func (dialect) Refused(_ int, h http.Header) bool  { return h.Get("Refused") != "" }
+func (dialect) Refused(_ int, h http.Header) bool { return h.Get("Refused") != "" }
 func (dialect) Notice(_ int, h http.Header) gateway.Notice {
 	rest, _ := time.ParseDuration(h.Get("Rest"))
 
--- a/internal/lister/lister_test.go
+++ b/internal/lister/lister_test.go
@@ -51,7 +51,7 @@
 func TestListIsKept(t *testing.T) {
 	clock := timer.NewManual(time.Unix(0, 0))
 	from, to := &source{answers: make(chan any)}, &sink{told: make(chan struct{}, 8)}
-	l, err := lister.New(lister.Settings{Source: from, Sink: to, Timer: clock, Interval: time.Second, Least: 300 * time.Millisecond})
+	l, err := lister.New(lister.Settings{Source: from, Sink: to, Timer: clock, Pace: lister.Pace{Interval: time.Second}, Least: 300 * time.Millisecond})
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -91,7 +91,7 @@
 func TestHurryIsBounded(t *testing.T) {
 	clock := timer.NewManual(time.Unix(0, 0))
 	from, to := &source{answers: make(chan any)}, &sink{told: make(chan struct{}, 8)}
-	l, err := lister.New(lister.Settings{Source: from, Sink: to, Timer: clock, Interval: time.Hour, Least: 300 * time.Millisecond})
+	l, err := lister.New(lister.Settings{Source: from, Sink: to, Timer: clock, Pace: lister.Pace{Interval: time.Hour}, Least: 300 * time.Millisecond})
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/subscriber/settings.go
+++ b/internal/subscriber/settings.go
@@ -59,6 +59,9 @@
 	// Leaving reports whether the process is shutting down; may be nil. It must
 	// not block.
 	Leaving func() bool
+	// Listing takes the host list that a control host passes on, the first message of a
+	// connection or a later one; nil if the process needs none. It must not block.
+	Listing func(first bool, m *wire.Listing)
 	// Log receives one line an event; nil discards them.
 	Log *log.Logger
 	// Beat is the time between heartbeats.
--- a/internal/subscriber/subscriber.go
+++ b/internal/subscriber/subscriber.go
@@ -227,11 +227,16 @@
 	}
 	s.work.Add(1)
 	go s.send(l, stream)
+	first := true
 	for {
 		n := &wire.Notice{}
 		if err := stream.Recv(n); err != nil {
 			return errors.Newf("read notice: %w", err)
 		}
+		if m := n.GetListing(); m != nil && s.s.Listing != nil {
+			s.s.Listing(first, m)
+			first = false
+		}
 		if s.notice(l, n) {
 			// An operator waits for the number of processes that have a change.
 			s.Beat()
