Have servers without an agent reserve memory before a request is sent there

Cause: where no agent lends a server's memory, an entry placed by what it had sent itself. Each entry also tried 36 agents that do not exist every two seconds and logged each attempt (22,940 lines in 34 s).

Ruled out: asking for the reports of all servers (some hundred ms old, and each of 25 entries would read them); a single owner of each server's memory, which is the better design but not built yet.

Change: the server itself reserves the memory (up to six servers are asked, then a pause that is shorter for urgent ranks), so what is sent neither waits nor is preempted. The check of the budget before a prompt reading no longer keeps all readings back where the share of an entry is below one. An agent that never answered is tried every 15 s.

--- a/internal/admitter/budget.go
+++ b/internal/admitter/budget.go
@@ -27,11 +27,14 @@
 // First counts the first send of a request.
 func (b *Budget) First(now time.Time) { b.firsts.add(now, 1, b.window) }
 
-// Left tells whether a further send is allowed.
+// Left tells whether the further sends so far are below what is allowed, for a send that
+// is counted only if it turns out to be a further one.
 func (b *Budget) Left(now time.Time) bool {
-	allowed := math.Max(b.spare, b.fraction*b.firsts.read(now, b.window))
+	return b.repeats.read(now, b.window) < b.allowed(now)
+}
 
-	return b.repeats.read(now, b.window)+1 <= allowed
+func (b *Budget) allowed(now time.Time) float64 {
+	return math.Max(b.spare, b.fraction*b.firsts.read(now, b.window))
 }
 
 // Charge counts a further send that was not asked for before.
@@ -39,7 +42,7 @@
 
 // Repeat takes one further send and tells whether there was one left.
 func (b *Budget) Repeat(now time.Time) bool {
-	if !b.Left(now) {
+	if b.repeats.read(now, b.window)+1 > b.allowed(now) {
 		return false
 	}
 	b.Charge(now)
--- a/internal/borrower/borrower.go
+++ b/internal/borrower/borrower.go
@@ -30,6 +30,9 @@
 	Silence time.Duration
 	// MinWait and MaxWait bound the wait between attempts to connect.
 	MinWait, MaxWait time.Duration
+	// Absent is the longest such wait for a lender that has never answered: most likely
+	// there is no agent beside that server.
+	Absent time.Duration
 }
 
 const (
@@ -39,6 +42,7 @@
 	defaultSilence = 1500 * time.Millisecond
 	defaultMinWait = 200 * time.Millisecond
 	defaultMaxWait = 2 * time.Second
+	defaultAbsent  = 15 * time.Second
 )
 
 // Defaults fills the fields that are zero.
@@ -51,6 +55,7 @@
 		{&s.Silence, defaultSilence},
 		{&s.MinWait, defaultMinWait},
 		{&s.MaxWait, defaultMaxWait},
+		{&s.Absent, defaultAbsent},
 	} {
 		if *d.field == 0 {
 			*d.field = d.value
@@ -66,8 +71,8 @@
 	if s.Name == "" || s.Timer == nil {
 		return errors.New("settings of borrower: name and timer must be set")
 	}
-	if s.Renew < 0 || s.Silence <= s.Renew || s.MinWait < 0 || s.MaxWait < s.MinWait {
-		return errors.New("settings of borrower: silence must be longer than renew, and no duration negative")
+	if s.Renew < 0 || s.Silence <= s.Renew || s.MinWait < 0 || s.MaxWait < s.MinWait || s.Absent < s.MaxWait {
+		return errors.New("settings of borrower: silence must be longer than renew, absent not shorter than the longest wait, and no duration negative")
 	}
 
 	return nil
--- a/internal/borrower/link.go
+++ b/internal/borrower/link.go
@@ -31,6 +31,7 @@
 	out     chan *wire.Call // nil while down
 	load    *wire.Load
 	heard   time.Time
+	met     bool // a session has been there
 	pending map[string]chan<- verdict
 	held    map[string]bool // grants in use
 }
@@ -38,7 +39,7 @@
 // run keeps a session until the link is cancelled.
 func (l *link) run() {
 	wait := l.b.s.MinWait
-	for l.ctx.Err() == nil {
+	for failures := 1; l.ctx.Err() == nil; failures++ {
 		begun := l.b.s.Timer.Now()
 		err := l.session()
 		l.fail()
@@ -48,15 +49,35 @@
 		if l.b.s.Timer.Now().Sub(begun) > l.b.s.MaxWait {
 			wait = l.b.s.MinWait
 		}
-		l.b.s.Log.Info().Str("server", l.server).Str("addr", l.addr).Dur("wait", wait).Err(err).Msg("lender lost")
+		// A server without an agent is no loss that needs a line for each attempt.
+		if l.known() || failures == 1 {
+			l.b.s.Log.Info().Str("server", l.server).Str("addr", l.addr).Dur("wait", wait).Err(err).Msg("lender lost")
+		}
 		pause := time.NewTimer(wait)
 		select {
 		case <-pause.C:
 		case <-l.ctx.Done():
 		}
 		pause.Stop()
-		wait = min(2*wait, l.b.s.MaxWait)
+		wait = min(2*wait, l.longest())
+	}
+}
+
+// known tells whether there has ever been a session.
+func (l *link) known() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+
+	return l.met
+}
+
+// longest is the longest wait between two attempts to connect.
+func (l *link) longest() time.Duration {
+	if l.known() {
+		return l.b.s.MaxWait
 	}
+
+	return l.b.s.Absent
 }
 
 // session runs one session until it breaks or falls silent.
@@ -136,7 +157,7 @@
 	l.heard = l.b.s.Timer.Now()
 	switch body := r.GetBody().(type) {
 	case *wire.Reply_Welcome:
-		l.out = out
+		l.out, l.met = out, true
 	case *wire.Reply_Load:
 		l.load = body.Load
 	case *wire.Reply_Granted:
--- a/internal/gateway/dialect.go
+++ b/internal/gateway/dialect.go
@@ -36,6 +36,8 @@
 	// Source is the address of the server that keeps the prompt, and Handle the
 	// name of what it keeps; both are empty if the server reads the prompt itself.
 	Source, Handle string
+	// Hold is the name of the memory that the server has reserved for the request, or "".
+	Hold string
 	// Last is the id of the last event that the caller has been sent.
 	Last string
 }
@@ -63,6 +65,12 @@
 	Notice(status int, h http.Header) Notice
 	// Handle reads the answer to a send with Prefill.
 	Handle(body []byte) (string, error)
+	// Reserve is the request that asks a server to reserve memory for a time.
+	Reserve(s *placer.Server, tokens int, hold time.Duration) *courier.Request
+	// Reserved reads the name of the memory from the answer to it.
+	Reserved(body []byte) (string, error)
+	// Unreserve is the request that gives reserved memory back.
+	Unreserve(s *placer.Server, hold string) *courier.Request
 	// Free is the request that gives back what a server keeps under a handle.
 	Free(s *placer.Server, handle string) *courier.Request
 }
--- /dev/null
+++ b/internal/gateway/hold.go
@@ -0,0 +1,151 @@
+package gateway
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/http"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/damasklever/damasklever/internal/borrower"
+	"github.com/damasklever/damasklever/internal/placer"
+)
+
+const (
+	// holdAsks is the number of servers that are asked for memory before a pause.
+	holdAsks = 6
+	// holdPause is the pause of the most urgent rank; the others pause longer, so that
+	// memory that comes free goes to the urgent ones first.
+	holdPause = 60 * time.Millisecond
+	// holdTimeout bounds one such call: an exchange between regions, a lost packet
+	// included.
+	holdTimeout = 300 * time.Millisecond
+	// fullWait is how long a server that had no memory is not asked again: some answers
+	// end meanwhile.
+	fullWait = 200 * time.Millisecond
+)
+
+// errFull says that a server has no memory to reserve.
+var errFull = errors.New("no memory to reserve")
+
+// holdTime is how long servers without a lender reserve memory, 0 if they do not.
+func (f *flight) holdTime() time.Duration {
+	plan := f.g.s.Plan()
+	if plan == nil {
+		return 0
+	}
+
+	return time.Duration(plan.Pool(f.pool).GetEngine().GetReserve()) * time.Millisecond
+}
+
+// hold reserves memory at a server without a lender, by the server itself, which alone
+// knows what it has. What is sent there then neither waits nor is preempted. The error is
+// a *borrower.RefusedError if no server has memory in time.
+func (f *flight) hold(q placer.Query, ttl time.Duration) (*reservation, error) {
+	f.g.s.Placer.Need(f.pool, f.memory())
+	target := time.Duration(f.path.GetTarget()) * time.Millisecond
+	r, err := f.holdWithin(q, ttl, target)
+	if !errors.Is(err, errLate) {
+		return r, err
+	}
+	f.g.s.Placer.Short(f.g.s.Timer.Now(), f.pool, int(f.path.GetRank()))
+	limit := f.patience() - answerMargin
+	l, now := line{f.pool, int(f.path.GetRank())}, f.g.s.Timer.Now()
+	if left := limit - f.lead() - now.Sub(f.begun); !f.g.backlog.enter(now, l, left) {
+		f.g.s.Log.Info().Str("id", f.hints.ID).Int("rank", l.rank).Dur("left", left).Msg("late and not expected to get memory")
+
+		return nil, &borrower.RefusedError{Reason: "deadline"}
+	}
+	r, err = f.holdWithin(q, ttl, limit)
+	f.g.backlog.leave(f.g.s.Timer.Now(), l, err == nil)
+	if errors.Is(err, errLate) {
+		err = &borrower.RefusedError{Reason: "deadline"}
+	}
+
+	return r, err
+}
+
+// holdWithin asks one server after the other, and gives up with errLate when the first
+// event can no longer come within a time from the request's arrival.
+func (f *flight) holdWithin(q placer.Query, ttl, limit time.Duration) (*reservation, error) {
+	for f.ctx.Err() == nil {
+		if f.g.s.Timer.Now().Sub(f.begun)+f.lead() >= limit {
+			return nil, errLate
+		}
+		candidates := f.g.s.Placer.RankUnlent(f.g.s.Timer.Now(), q, int(f.path.GetRank()), f.memory())
+		for _, c := range candidates[:min(holdAsks, len(candidates))] {
+			hold, err := f.takeHold(c.Server, ttl)
+			if err == nil {
+				return f.claim(q, c.Server, hold)
+			}
+			if errors.Is(err, errFull) {
+				f.g.s.Placer.Full(f.g.s.Timer.Now(), c.Server.ID, fullWait)
+			} else {
+				f.doubt(c.Server, err)
+			}
+		}
+		if len(candidates) == 0 && f.g.s.Placer.Count(f.pool) == 0 {
+			return nil, errNoServer
+		}
+		f.pause(time.Duration((1 + rand.Float64()) * float64(f.path.GetRank()+1) * float64(holdPause))) //nolint:gosec // no secret
+	}
+
+	return nil, context.Cause(f.ctx)
+}
+
+// pause waits for a time or until the request ends.
+func (f *flight) pause(d time.Duration) {
+	woken := make(chan struct{})
+	defer f.g.s.Timer.After(d, func(time.Time) { close(woken) })()
+	select {
+	case <-woken:
+	case <-f.ctx.Done():
+	}
+}
+
+// claim makes the reservation of the request.
+func (f *flight) claim(q placer.Query, s *placer.Server, hold string) (*reservation, error) {
+	c, ok := f.g.s.Placer.Claim(f.g.s.Timer.Now(), q, s.ID)
+	if !ok {
+		f.dropHold(s, hold)
+
+		return nil, errNoServer
+	}
+
+	return &reservation{choice: c, hold: hold}, nil
+}
+
+// takeHold asks a server to reserve memory.
+func (f *flight) takeHold(s *placer.Server, ttl time.Duration) (string, error) {
+	ctx, cancel := context.WithTimeout(f.ctx, holdTimeout)
+	defer cancel()
+	response, err := f.g.s.Courier.Do(ctx, s.Addr, f.g.s.Dialect.Reserve(s, f.memory(), ttl))
+	if err != nil {
+		return "", errors.Newf("reserve memory: %w", err)
+	}
+	f.hear(s, response)
+	body, err := readAll(response)
+	switch {
+	case err != nil:
+		return "", errors.Newf("reserve memory: %w", err)
+	case response.Status == http.StatusServiceUnavailable:
+		return "", errFull
+	case response.Status != http.StatusOK:
+		return "", errors.Newf("reserve memory: status %d", response.Status)
+	}
+	hold, err := f.g.s.Dialect.Reserved(body)
+	if err != nil {
+		return "", errors.Newf("reserve memory: %w", err)
+	}
+	f.g.s.Log.Info().Str("id", f.hints.ID).Str("server", s.ID).Int("tokens", f.memory()).Str("hold", hold).Msg("memory reserved")
+
+	return hold, nil
+}
+
+// dropHold gives reserved memory back that was not used.
+func (f *flight) dropHold(s *placer.Server, hold string) {
+	if hold != "" {
+		f.tell(s, f.g.s.Dialect.Unreserve(s, hold), "reservation dropped")
+	}
+}
--- a/internal/gateway/reserve.go
+++ b/internal/gateway/reserve.go
@@ -40,6 +40,8 @@
 	choice  placer.Choice
 	decode  *borrower.Grant // nil without a lender
 	prefill *borrower.Grant
+	// hold is the name of the memory that a server without a lender has reserved.
+	hold string
 }
 
 // release gives back what is still held, after a send that ended so.
@@ -87,8 +89,12 @@
 	return out, nil
 }
 
-// unlent chooses servers without lenders, by what this process has sent them.
+// unlent chooses servers without lenders. Where these reserve nothing, it goes by what
+// this process has sent them.
 func (f *flight) unlent(q placer.Query) (*reservation, error) {
+	if ttl := f.holdTime(); ttl > 0 {
+		return f.hold(q, ttl)
+	}
 	c, ok := f.g.s.Placer.PickStream(f.g.s.Timer.Now(), q)
 	if !ok {
 		return nil, errNoServer
--- a/internal/gateway/rig_test.go
+++ b/internal/gateway/rig_test.go
@@ -66,6 +66,16 @@
 
 func (dialect) Handle(body []byte) (string, error) { return string(body), nil }
 
+func (dialect) Reserve(_ *placer.Server, tokens int, _ time.Duration) *courier.Request {
+	return &courier.Request{Method: http.MethodPost, Target: "/reserve/" + strconv.Itoa(tokens), Host: "h"}
+}
+
+func (dialect) Reserved(body []byte) (string, error) { return string(body), nil }
+
+func (dialect) Unreserve(_ *placer.Server, hold string) *courier.Request {
+	return &courier.Request{Method: http.MethodDelete, Target: "/reserve/" + hold, Host: "h"}
+}
+
 func (dialect) Free(_ *placer.Server, handle string) *courier.Request {
 	return &courier.Request{Method: http.MethodDelete, Target: "/free/" + handle, Host: "h"}
 }
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -83,7 +83,7 @@
 // generate runs the request at the chosen servers and passes the events on.
 func (f *flight) generate(r *reservation, out *events) (*answer, end, error) {
 	c := r.choice
-	send := Send{Server: c.Server.ID, Last: out.last}
+	send := Send{Server: c.Server.ID, Last: out.last, Hold: r.hold}
 	if c.Prefill != nil {
 		if handle := f.readApart(r); handle != "" {
 			send.Source, send.Handle = c.Prefill.Addr, handle
@@ -91,6 +91,7 @@
 	}
 	if f.ctx.Err() != nil {
 		f.free(c.Prefill, send.Handle)
+		f.dropHold(c.Server, r.hold)
 
 		return nil, f.ended(), context.Cause(f.ctx)
 	}
@@ -102,7 +103,7 @@
 		f.g.s.Placer.Failed(f.g.s.Timer.Now(), c.Prefill.ID)
 		if f.ctx.Err() == nil && f.left() > minLeft && f.g.repeat(f.pool) {
 			f.note(c, f.begun, e, nil)
-			send.Source, send.Handle = "", ""
+			send.Source, send.Handle, send.Hold = "", "", ""
 
 			return f.decode(c, send, out)
 		}
@@ -184,16 +185,21 @@
 	if s == nil || handle == "" {
 		return
 	}
+	f.tell(s, f.g.s.Dialect.Free(s, handle), "prompt freed")
+}
+
+// tell makes a call that gives something back, beside the request.
+func (f *flight) tell(s *placer.Server, r *courier.Request, done string) {
 	f.g.work.Add(1)
 	go func() {
 		defer f.g.work.Done()
 		ctx, cancel := context.WithTimeout(f.g.ctx, freeTimeout)
 		defer cancel()
-		response, err := f.g.s.Courier.Do(ctx, s.Addr, f.g.s.Dialect.Free(s, handle))
+		response, err := f.g.s.Courier.Do(ctx, s.Addr, r)
 		if err == nil {
 			_, err = io.Copy(io.Discard, io.LimitReader(response.Body, maxHeld))
 			_ = response.Body.Close()
 		}
-		f.g.s.Log.Info().Str("id", f.hints.ID).Str("server", s.ID).Err(err).Msg("prompt freed")
+		f.g.s.Log.Info().Str("id", f.hints.ID).Str("server", s.ID).Err(err).Msg(done)
 	}()
 }
