Keep sessions with a subset of the lenders

Cause: each entry kept a session with each agent. At 105 entries and 180 agents that is 18,900 sessions, each renewed every 0.6 s and told the load up to seven times a second: by reading, the largest part of the processor time and of the bytes between regions. At the target size it cannot exist.

Ruled out: sessions on demand (a first ask would wait for a connection); loads summed up by data centre (not needed while each entry has sessions in every region).

A session with grants in use is kept until they end.

--- a/internal/borrower/borrower.go
+++ b/internal/borrower/borrower.go
@@ -138,7 +138,8 @@
 // Done is closed by Close.
 func (b *Borrower) Done() <-chan struct{} { return b.done }
 
-// SetLenders replaces the known lenders: "ip:port" by server.
+// SetLenders replaces the lenders to keep sessions with: "ip:port" by server. A session
+// with another one is kept until no grant of it is in use and no ask waits there.
 func (b *Borrower) SetLenders(addrs map[string]string) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -146,7 +147,7 @@
 		return
 	}
 	for server, l := range b.links {
-		if addrs[server] != l.addr {
+		if addr, wanted := addrs[server]; wanted && addr != l.addr || !wanted && l.unused() {
 			l.cancel()
 			delete(b.links, server)
 		}
--- a/internal/borrower/link.go
+++ b/internal/borrower/link.go
@@ -218,6 +218,14 @@
 	return true
 }
 
+// unused tells whether no ask waits and no grant is in use.
+func (l *link) unused() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+
+	return len(l.pending) == 0 && len(l.held) == 0
+}
+
 // withdraw ends an ask. A grant that has arrived meanwhile is given back.
 func (l *link) withdraw(id string) {
 	l.mu.Lock()
--- a/internal/gateway/reserve.go
+++ b/internal/gateway/reserve.go
@@ -154,6 +154,7 @@
 	target := time.Duration(f.path.GetTarget()) * time.Millisecond
 	grant, err := f.askFor(target, a, servers)
 	if errors.Is(err, errLate) {
+		f.g.s.Crowded()
 		grant, err = f.askLate(&a, servers)
 	}
 	switch {
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -27,6 +27,8 @@
 	Known func() bool
 	// Missing is called when no server of a pool could be reached; may be nil.
 	Missing func()
+	// Crowded is called when the lenders that are known had no memory in time; may be nil.
+	Crowded func()
 	Placer  *placer.Placer
 	Courier *courier.Courier
 	// Lenders lend the memory of model servers; nil if there are none.
@@ -98,6 +100,9 @@
 	if s.Missing == nil {
 		s.Missing = func() {}
 	}
+	if s.Crowded == nil {
+		s.Crowded = func() {}
+	}
 	if s.Known == nil {
 		s.Known = func() bool { return true }
 	}
