Ask servers for memory by distance and own load only

Change: the machinery is gone, with its tests.

Tests: gateway.TestBurstWithoutAgents, TestHoldIsDropped, placer.TestRankUnlent, TestClaim.

--- a/internal/gateway/hold.go
+++ b/internal/gateway/hold.go
@@ -43,13 +43,11 @@
 // knows what it has. What is sent there then neither waits nor is preempted. The error is
 // a *borrower.RefusedError if no server has memory in time.
 func (f *flight) hold(q placer.Query, ttl time.Duration) (*reservation, error) {
-	f.g.s.Placer.Need(f.pool, f.memory())
 	target := time.Duration(f.path.GetTarget()) * time.Millisecond
 	r, err := f.holdWithin(q, ttl, target)
 	if !errors.Is(err, errLate) {
 		return r, err
 	}
-	f.g.s.Placer.Short(f.g.s.Timer.Now(), f.pool, int(f.path.GetRank()))
 	limit := f.patience() - answerMargin
 	l, now := line{f.pool, int(f.path.GetRank())}, f.g.s.Timer.Now()
 	if left := limit - f.lead() - now.Sub(f.begun); !f.g.backlog.enter(now, l, left) {
@@ -73,7 +71,7 @@
 		if f.g.s.Timer.Now().Sub(f.begun)+f.lead() >= limit {
 			return nil, errLate
 		}
-		candidates := f.g.s.Placer.RankUnlent(f.g.s.Timer.Now(), q, int(f.path.GetRank()), f.memory())
+		candidates := f.g.s.Placer.RankUnlent(f.g.s.Timer.Now(), q)
 		for _, c := range candidates[:min(holdAsks, len(candidates))] {
 			hold, err := f.takeHold(c.Server, ttl)
 			if err == nil {
--- a/internal/gateway/rig_test.go
+++ b/internal/gateway/rig_test.go
@@ -50,6 +50,7 @@
 	if s.Prefill {
 		h.Set("Stage", "prefill")
 	}
+	h.Set("Hold", s.Hold)
 	if s.Handle != "" {
 		h.Set("Source", s.Source+"/"+s.Handle)
 	}
--- a/internal/lister/listing.go
+++ b/internal/lister/listing.go
@@ -63,9 +63,13 @@
 	return max(sum.Sum64(), 1)
 }
 
-// Term and Number order the readings; Read is when this one began.
-func (l *Listing) Term() uint64    { return l.term }
-func (l *Listing) Number() uint64  { return l.number }
+// Term is that of the leader that read the list.
+func (l *Listing) Term() uint64 { return l.term }
+
+// Number orders the readings of a term.
+func (l *Listing) Number() uint64 { return l.number }
+
+// Read is when the reading began.
 func (l *Listing) Read() time.Time { return l.read }
 
 // Digest tells listings with other hosts apart.
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -123,17 +123,12 @@
 	mu      sync.Mutex
 	pools   map[string][]*state
 	servers map[string]*state // by id
-	mixes   map[string]*mix   // by pool
-	// short is when a request of a pool and rank last found no memory.
-	short map[string]map[int]time.Time
 }
 
 // state is what this process knows of one server.
 type state struct {
 	Server
 	running int
-	// position is where the server stands in its pool.
-	position float64
 	// reads is when the prompts sent so far will have been read.
 	reads    time.Time
 	failures int
@@ -152,7 +147,7 @@
 		return nil, err
 	}
 
-	return &Placer{s: s, pools: make(map[string][]*state), servers: make(map[string]*state), mixes: make(map[string]*mix), short: make(map[string]map[int]time.Time)}, nil
+	return &Placer{s: s, pools: make(map[string][]*state), servers: make(map[string]*state)}, nil
 }
 
 // SetServers replaces the known servers. What is known of those that stay is
@@ -165,7 +160,7 @@
 	for _, s := range list {
 		st := old[s.ID]
 		if st == nil || st.Addr != s.Addr || st.Pool != s.Pool {
-			st = &state{position: position(s.ID)}
+			st = &state{}
 		}
 		st.Server = s
 		st.follow(s.Leaving)
--- a/internal/placer/reserve.go
+++ b/internal/placer/reserve.go
@@ -2,87 +2,29 @@
 
 import (
 	"cmp"
-	"math"
 	"slices"
 	"time"
 )
 
-// apart is the delay that a server at the other end of the pool counts for: more than the
-// way between regions, since a large request finds no memory where small ones are.
-const apart = 100 * time.Millisecond
-
 // spread is the delay by which equal servers differ from request to request, so that the
 // entries, which do not know of each other, do not all ask the same ones first.
 const spread = 10 * time.Millisecond
 
-// Need notes the memory that a request of a pool needs, in tokens.
-func (p *Placer) Need(pool string, need int) {
+// RankUnlent returns the decode servers of a pool that have no lender, the best first, by
+// distance and by what this process has sent them. Which of them has memory is only known
+// to the servers, and they are asked in this order.
+func (p *Placer) RankUnlent(now time.Time, q Query) []Candidate {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.mixes[pool] == nil {
-		p.mixes[pool] = &mix{}
-	}
-	p.mixes[pool].add(need)
-}
-
-const (
-	// shortWindow is how long the requests of a rank keep to their place after a more
-	// urgent one has found no memory: some lives of an answer.
-	shortWindow = 8 * time.Second
-	// reach is how far from their place, as a share of the pool, they are sent then.
-	reach = 0.2
-)
-
-// Short tells that a request of a rank has found no memory in time. Less urgent ones
-// leave the servers of other sizes to it and its like for a while.
-func (p *Placer) Short(now time.Time, pool string, rank int) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if p.short[pool] == nil {
-		p.short[pool] = make(map[int]time.Time)
-	}
-	p.short[pool][rank] = now
-}
-
-// crowded tells whether a request more urgent than a rank has found no memory lately. It
-// needs the lock.
-func (p *Placer) crowded(now time.Time, pool string, rank int) bool {
-	for r, at := range p.short[pool] {
-		if r < rank && now.Sub(at) < shortWindow {
-			return true
-		}
-	}
-
-	return false
-}
-
-// RankUnlent returns the decode servers of a pool that have no lender, the best first for
-// a request that needs so many tokens: by its size, by distance and by what this process
-// has sent them. It answers the load of a pool that many processes share and that is
-// nearly full: which of the servers has memory is only known to the servers, and they are
-// asked in this order.
-func (p *Placer) RankUnlent(now time.Time, q Query, rank, need int) []Candidate {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	place := 0.0
-	if m := p.mixes[q.Pool]; m != nil {
-		place = m.place(need)
-	}
-	crowded := p.crowded(now, q.Pool, rank)
 	var out []Candidate
 	for _, st := range p.pools[q.Pool] {
 		if st.barred(now) || st.Stage != Decode || st.full.After(now) || slices.Contains(q.Avoid, st.ID) {
 			continue
 		}
-		off := math.Abs(st.position - place)
-		if crowded && off > reach {
-			continue
-		}
 		out = append(out, Candidate{
 			Server: st.copy(),
 			Cost: p.distance(&st.Server) + until(now, st.avoid) + until(now, st.reads) +
-				time.Duration(st.running)*p.s.Running + time.Duration(p.s.Draw()*float64(spread)) +
-				time.Duration(off*float64(apart)),
+				time.Duration(st.running)*p.s.Running + time.Duration(p.s.Draw()*float64(spread)),
 		})
 	}
 	slices.SortStableFunc(out, func(a, b Candidate) int { return cmp.Compare(a.Cost, b.Cost) })
