Move servers between prefill and decode when the load has shifted

Ruled out: stages by each entry or agent (two holders of orders); a fixed share.

Change: the leader of the control hosts reads the reports every two seconds and orders a stage with its term as the fence and the sequence that it read, not before the lease of the leader before has passed, and never in a term in which a server has seen a higher fence. Pools without a time for the change in the plan are left alone.

--- /dev/null
+++ b/internal/controller/leadership.go
@@ -0,0 +1,60 @@
+package controller
+
+import (
+	"github.com/damasklever/damasklever/internal/placer"
+	"github.com/damasklever/damasklever/internal/replicator"
+)
+
+// leadBeats is the number of heartbeats within which a majority must have answered a
+// leader that gives orders.
+const leadBeats = 3
+
+// Lead implements balancer.Leadership.
+func (k *Keeper) Lead() (term uint64, ok bool) {
+	if c := k.current.Load(); c != nil {
+		return c.lead()
+	}
+
+	return 0, false
+}
+
+// Servers implements balancer.Leadership.
+func (k *Keeper) Servers() []placer.Server {
+	c := k.current.Load()
+	if c == nil {
+		return nil
+	}
+	if l := c.hosts.board.Current(); l != nil {
+		return l.Servers()
+	}
+
+	return nil
+}
+
+// Moves implements balancer.Leadership.
+func (k *Keeper) Moves(pool string) bool {
+	c := k.current.Load()
+
+	return c != nil && c.moves(pool)
+}
+
+func (c *Controller) lead() (term uint64, ok bool) {
+	c.do(func() {
+		status := c.core.Status()
+		lease := c.core.Lease(c.s.Timer.Now())
+		term, ok = status.Term, status.Role == replicator.Leader && lease >= 0 && lease <= leadBeats*c.s.Heartbeat
+	})
+
+	return term, ok
+}
+
+// moves tells whether the plan in force says that a pool's servers change their stage.
+func (c *Controller) moves(pool string) (ok bool) {
+	c.do(func() {
+		for _, p := range c.state.Plan().GetPools() {
+			ok = ok || p.GetName() == pool && p.GetEngine().GetTurn() > 0
+		}
+	})
+
+	return ok
+}
