Use servers without an agent beside those with one

Cause: entries asked a server itself for memory only where no agent at all answered, so a pool in which some servers have an agent used no other. An entry that starts waited two seconds for a list that was passed on before it read one itself.

Change: when the best server with an agent has nothing to spare, servers whose agent has never answered are asked.

Tests: gateway.TestServerBesideAgents fails without the change.

--- a/internal/borrower/borrower.go
+++ b/internal/borrower/borrower.go
@@ -189,6 +189,14 @@
 	return l.current()
 }
 
+// Absent tells that no agent has ever answered beside a server to which a session was
+// tried more than once.
+func (b *Borrower) Absent(server string) bool {
+	l := b.link(server)
+
+	return l != nil && l.absent()
+}
+
 // Grant is memory or a turn at a server. Release must be called once its work has
 // ended.
 type Grant struct {
--- a/internal/borrower/link.go
+++ b/internal/borrower/link.go
@@ -32,6 +32,7 @@
 	load    *wire.Load
 	heard   time.Time
 	met     bool // a session has been there
+	failed  int  // attempts to connect, or sessions, that have ended
 	pending map[string]chan<- verdict
 	held    map[string]bool // grants in use
 }
@@ -39,7 +40,7 @@
 // run keeps a session until the link is cancelled.
 func (l *link) run() {
 	wait := l.b.s.MinWait
-	for failures := 1; l.ctx.Err() == nil; failures++ {
+	for l.ctx.Err() == nil {
 		begun := l.b.s.Timer.Now()
 		err := l.session()
 		l.fail()
@@ -50,7 +51,7 @@
 			wait = l.b.s.MinWait
 		}
 		// A server without an agent is no loss that needs a line for each attempt.
-		if l.known() || failures == 1 {
+		if !l.absent() {
 			l.b.s.Log.Info().Str("server", l.server).Str("addr", l.addr).Dur("wait", wait).Err(err).Msg("lender lost")
 		}
 		pause := time.NewTimer(wait)
@@ -63,21 +64,21 @@
 	}
 }
 
-// known tells whether there has ever been a session.
-func (l *link) known() bool {
+// absent tells that there has never been a session, although several were tried.
+func (l *link) absent() bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 
-	return l.met
+	return !l.met && l.failed > 1
 }
 
 // longest is the longest wait between two attempts to connect.
 func (l *link) longest() time.Duration {
-	if l.known() {
-		return l.b.s.MaxWait
+	if l.absent() {
+		return l.b.s.Absent
 	}
 
-	return l.b.s.Absent
+	return l.b.s.MaxWait
 }
 
 // session runs one session until it breaks or falls silent.
@@ -193,6 +194,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.out, l.load = nil, nil
+	l.failed++
 	for id := range l.pending {
 		l.answer(verdict{link: l, id: id, refused: RefusedError{Reason: "down"}})
 	}
--- a/internal/gateway/hold.go
+++ b/internal/gateway/hold.go
@@ -73,14 +73,8 @@
 		}
 		candidates := f.g.s.Placer.RankUnlent(f.g.s.Timer.Now(), q)
 		for _, c := range candidates[:min(holdAsks, len(candidates))] {
-			hold, err := f.takeHold(c.Server, ttl)
-			if err == nil {
-				return f.claim(q, c.Server, hold)
-			}
-			if errors.Is(err, errFull) {
-				f.g.s.Placer.Full(f.g.s.Timer.Now(), c.Server.ID, fullWait)
-			} else {
-				f.doubt(c.Server, err)
+			if r := f.holdAt(q, c.Server, ttl); r != nil {
+				return r, nil
 			}
 		}
 		if len(candidates) == 0 && f.g.s.Placer.Count(f.pool) == 0 {
@@ -92,6 +86,46 @@
 	return nil, context.Cause(f.ctx)
 }
 
+// holdBeside reserves memory at a server without a lender in a pool where others have
+// one, if the best of these has none to spare. It returns nil if it finds none at once.
+func (f *flight) holdBeside(q placer.Query, lent []placer.Candidate, need int) *reservation {
+	ttl := f.holdTime()
+	if l, ok := f.g.s.Lenders.Load(lent[0].Server.ID); ttl == 0 || ok && l.Free >= spareRoom*need && l.Queued == 0 {
+		return nil
+	}
+	asks := holdAsks
+	for _, c := range f.g.s.Placer.RankUnlent(f.g.s.Timer.Now(), q) {
+		if asks == 0 || f.ctx.Err() != nil {
+			break
+		}
+		if !f.g.s.Lenders.Absent(c.Server.ID) {
+			continue
+		}
+		asks--
+		if r := f.holdAt(q, c.Server, ttl); r != nil {
+			return r
+		}
+	}
+
+	return nil
+}
+
+// holdAt asks one server, and returns nil if it reserves nothing.
+func (f *flight) holdAt(q placer.Query, s *placer.Server, ttl time.Duration) *reservation {
+	hold, err := f.takeHold(s, ttl)
+	if err == nil {
+		return f.claim(q, s, hold)
+	}
+	if errors.Is(err, errFull) {
+		f.g.s.Placer.Full(f.g.s.Timer.Now(), s.ID, fullWait)
+	} else {
+		f.doubt(s, err)
+	}
+	f.g.s.Log.Debug().Str("id", f.hints.ID).Str("server", s.ID).Err(err).Msg("memory not reserved")
+
+	return nil
+}
+
 // pause waits for a time or until the request ends.
 func (f *flight) pause(d time.Duration) {
 	woken := make(chan struct{})
@@ -102,16 +136,17 @@
 	}
 }
 
-// claim makes the reservation of the request.
-func (f *flight) claim(q placer.Query, s *placer.Server, hold string) (*reservation, error) {
+// claim makes the reservation of the request, or returns nil if the server is not listed
+// any more.
+func (f *flight) claim(q placer.Query, s *placer.Server, hold string) *reservation {
 	c, ok := f.g.s.Placer.Claim(f.g.s.Timer.Now(), q, s.ID)
 	if !ok {
 		f.dropHold(s, hold)
 
-		return nil, errNoServer
+		return nil
 	}
 
-	return &reservation{choice: c, hold: hold}, nil
+	return &reservation{choice: c, hold: hold}
 }
 
 // takeHold asks a server to reserve memory.
--- a/internal/gateway/hold_test.go
+++ b/internal/gateway/hold_test.go
@@ -106,6 +106,32 @@
 	}
 }
 
+// In a pool where some servers have an agent and one has none, the one without is used
+// when the others have nothing to spare.
+func TestServerBesideAgents(t *testing.T) {
+	for name, test := range map[string]struct {
+		full bool
+		want string
+	}{
+		"agents have room": {false, "lent"},
+		"agents are full":  {true, "bare"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := &cell{room: 1}
+			lent := newBackend(t, "lent", answering(http.StatusOK, "id: 1\n\n"))
+			bare := newBackend(t, "bare", c.serve)
+			r := newRigWith(t, func(s *gateway.Settings) {
+				withHolds(s)
+				s.Lenders = &lenders{absent: "bare", full: test.full}
+			}, lent.server(placer.Decode), bare.server(placer.Decode))
+			got := r.call(t, http.MethodPost, "/stream/", "body", http.Header{"Prompt": {"10"}})
+			if server := got.header.Get("Proof"); got.status != http.StatusOK || server != "of "+test.want {
+				t.Errorf("server: got status %d %s, want 200 of %s", got.status, server, test.want)
+			}
+		})
+	}
+}
+
 // Memory that is reserved for a request whose prompt nobody could read in time is given
 // back.
 func TestHoldIsDropped(t *testing.T) {
--- a/internal/gateway/reserve.go
+++ b/internal/gateway/reserve.go
@@ -15,6 +15,8 @@
 type Lenders interface {
 	Load(server string) (borrower.Load, bool)
 	Ask(ctx context.Context, a borrower.Ask, servers []string) (*borrower.Grant, error)
+	// Absent tells that no lender answers for a server, whatever it says itself.
+	Absent(server string) bool
 }
 
 const (
@@ -71,6 +73,9 @@
 	if len(decode) == 0 {
 		return f.unlent(q)
 	}
+	if r := f.holdBeside(q, decode, need); r != nil {
+		return r, nil
+	}
 	grant, rank, err := f.borrowDecode(decode, need)
 	if errors.Is(err, borrower.ErrDown) {
 		return f.unlent(q)
--- a/internal/gateway/rig_test.go
+++ b/internal/gateway/rig_test.go
@@ -264,12 +264,20 @@
 	refuse   func(ctx context.Context, a borrower.Ask) error
 	released int
 	broken   int // of the released ones
+	absent   string
+	full     bool
 }
 
-func (l *lenders) Load(string) (borrower.Load, bool) {
-	return borrower.Load{Total: 100000, Free: 100000}, true
+func (l *lenders) Load(server string) (borrower.Load, bool) {
+	if l.full {
+		return borrower.Load{Total: 100000, Queued: 1}, server != l.absent
+	}
+
+	return borrower.Load{Total: 100000, Free: 100000}, server != l.absent
 }
 
+func (l *lenders) Absent(server string) bool { return server == l.absent }
+
 func (l *lenders) Ask(ctx context.Context, a borrower.Ask, servers []string) (*borrower.Grant, error) {
 	l.mu.Lock()
 	l.asks = append(l.asks, a)
--- a/internal/lister/lister.go
+++ b/internal/lister/lister.go
@@ -150,7 +150,8 @@
 	defer l.mu.Unlock()
 	fresh := l.read
 	if fresh.IsZero() {
-		fresh = l.began
+		// It has nothing to serve with, so it waits for less.
+		fresh = l.began.Add(l.s.Pace.First - l.s.Pace.Stale)
 	}
 
 	return l.s.Pace.Due(now, fresh, l.begun, l.s.Processes(), l.share)
--- a/internal/lister/pace.go
+++ b/internal/lister/pace.go
@@ -8,6 +8,8 @@
 type Pace struct {
 	// Stale is how old the newest reading may get; 0 for a process that always reads.
 	Stale time.Duration
+	// First is how long a process that has just started waits for a reading.
+	First time.Duration
 	// Interval is the time between two readings of this process at least.
 	Interval time.Duration
 	// Rate is the readings a second of all processes together, 0 for no bound.
