Send entries plans without their source, and compress large updates

A plan of 1,500 routes was sent to each of 105 entries with the operator's text: by the sizes of the messages about 0.7 MB each, from three control hosts over 100 Mbit/s, to machines with 10 Mbit/s, and again at each further change.

Ruled out: the host list (the same on without it); a lost update (the entries log the plan, late); sending to a few entries at a time (a frozen entry would hold up others).

Change: subscribers get the plan without its source, which only operators read, and an update from 8 kB is compressed, once for all subscribers that hold the same index. An update that cannot be taken apart ends the connection; a small one cannot fill memory.

Not done: an update holds the whole plan although few routes change, and entries stay with the three seeds of six control hosts.

Tests: packer.TestPack (1,500 routes to less than a third), TestUnpackBad.

--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -75,7 +75,7 @@
 	grown     int                        // bytes of entries applied after it
 	packing   bool                       // a snapshot is being taken
 	fault     error                      // ends the event loop
-	updates   map[uint64]*wire.Update    // by the index asked for, since the last change
+	updates   map[uint64]*update         // by the index asked for, since the last change
 	members   *wire.Members
 	counting  bool   // a census is running
 	announced uint64 // mark that the other members were told
@@ -99,7 +99,7 @@
 		events: make(chan func(), eventBacklog), inbox: make(chan *wire.Peer, eventBacklog),
 		ticks: make(chan time.Time, 1), looped: make(chan struct{}), started: make(chan struct{}), done: make(chan struct{}),
 		waiting: make(map[uint64]*waiter), reading: make(map[uint64]chan replicator.Read),
-		arrivals: make(map[uint64][]chan struct{}), updates: make(map[uint64]*wire.Update),
+		arrivals: make(map[uint64][]chan struct{}), updates: make(map[uint64]*update),
 		attachments: newAttachments(), marks: newMarks(), hosts: hostList{board: lister.NewBoard()},
 	}
 	st, err := rec.Load()
--- a/internal/controller/server.go
+++ b/internal/controller/server.go
@@ -5,12 +5,14 @@
 	"fmt"
 	"math"
 	"math/rand/v2"
+	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
 
 	"github.com/damasklever/damasklever/internal/lister"
 	"github.com/damasklever/damasklever/internal/messenger"
+	"github.com/damasklever/damasklever/internal/packer"
 	"github.com/damasklever/damasklever/internal/wire"
 )
 
@@ -199,13 +201,13 @@
 // sendUpdate sends what changed after sent. A host that is behind the subscriber
 // sends nothing, as a subscriber never goes back.
 func (c *Controller) sendUpdate(s *messenger.Stream, sent uint64, first bool) (uint64, error) {
-	var update *wire.Update
+	var update *update
 	ran := c.do(func() {
 		if index := c.state.Index(); index < sent || index == sent && !first {
 			return
 		}
 		if c.updates[sent] == nil {
-			c.updates[sent] = c.state.UpdateSince(sent)
+			c.updates[sent] = newUpdate(c.state.UpdateSince(sent))
 		}
 		update = c.updates[sent]
 	})
@@ -215,11 +217,31 @@
 	if update == nil {
 		return sent, nil
 	}
-	if err := s.Send(&wire.Notice{Body: &wire.Notice_Update{Update: update}}); err != nil {
+	notice, err := update.notice()
+	if err != nil {
+		c.s.Log.Error().Uint64("index", update.index).Err(err).Msg("update not sent")
+
+		return sent, err
+	}
+	if err := s.Send(notice); err != nil {
 		return sent, errors.Newf("send update: %w", err)
 	}
 
-	return max(sent, update.GetIndex()), nil
+	return max(sent, update.index), nil
+}
+
+// update is what changed after an index. It is packed once, outside the event loop, for
+// all processes that have the same index.
+type update struct {
+	index  uint64
+	notice func() (*wire.Notice, error)
+}
+
+func newUpdate(u *wire.Update) *update {
+	return &update{
+		index:  u.GetIndex(),
+		notice: sync.OnceValues(func() (*wire.Notice, error) { return packer.Pack(u) }),
+	}
 }
 
 // sendPulse names the index that the subscriber has after the updates sent, or
--- a/internal/registrar/object.go
+++ b/internal/registrar/object.go
@@ -177,7 +177,8 @@
 	case *wire.Block:
 		u.Blocks = append(u.Blocks, m)
 	case *wire.Plan:
-		u.Plan = m
+		// Only operators read the source, which is most of a plan.
+		u.Plan = &wire.Plan{Version: m.GetVersion(), Paths: m.GetPaths(), Pools: m.GetPools(), Bounds: m.GetBounds()}
 	}
 }
 
--- a/internal/subscriber/subscriber.go
+++ b/internal/subscriber/subscriber.go
@@ -14,6 +14,7 @@
 	"github.com/cockroachdb/errors"
 	"google.golang.org/protobuf/proto"
 
+	"github.com/damasklever/damasklever/internal/packer"
 	"github.com/damasklever/damasklever/internal/timer"
 	"github.com/damasklever/damasklever/internal/wire"
 )
@@ -237,7 +238,11 @@
 			s.s.Listing(first, m)
 			first = false
 		}
-		if s.notice(l, n) {
+		u, err := packer.Unpack(n)
+		if err != nil {
+			return errors.Newf("read notice: %w", err)
+		}
+		if s.notice(l, n, u) {
 			// An operator waits for the number of processes that have a change.
 			s.Beat()
 		}
@@ -322,20 +327,20 @@
 	return flights[:maxFlights]
 }
 
-// notice handles a message of the current connection and reports whether it
-// replaced the view.
-func (s *Subscriber) notice(l *link, n *wire.Notice) bool {
+// notice handles a message of the current connection, with the update that it holds if
+// any, and reports whether it replaced the view.
+func (s *Subscriber) notice(l *link, n *wire.Notice, u *wire.Update) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.link != l {
 		return false
 	}
 	l.heard = s.t.Now()
-	switch body := n.GetBody().(type) {
-	case *wire.Notice_Update:
-		return s.update(l, body.Update)
-	case *wire.Notice_Pulse:
-		s.pulse(l, body.Pulse)
+	if u != nil {
+		return s.update(l, u)
+	}
+	if p := n.GetPulse(); p != nil {
+		s.pulse(l, p)
 	}
 
 	return false
