--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -48,7 +48,7 @@
 	if n.Fault != nil {
 		f.g.s.Log.Warn().Str("id", f.hints.ID).Str("server", s.ID).Err(n.Fault).Msg("notice of server ignored")
 	}
-	if n.Leaving && f.g.s.Placer.Left(s.ID) {
+	if n.Leaving && f.g.s.Placer.Left(now, s.ID) {
 		f.g.s.Log.Info().Str("id", f.hints.ID).Str("server", s.ID).Msg("server says that it leaves")
 	}
 	if n.Rest > 0 {
--- a/internal/placer/notice.go
+++ b/internal/placer/notice.go
@@ -5,19 +5,44 @@
 // maxRest bounds the time for which a server may turn requests away.
 const maxRest = 10 * time.Minute
 
+// leftTime is how long a server's word that it leaves counts against a list that shows it
+// ready: by then the list has either shown that it left, or the server has started again
+// under its name.
+const leftTime = time.Minute
+
 // Left tells that a server has said in an answer that it leaves. It gets no more
-// requests, whatever the host list says, until the list shows another server or that
-// this one has left and come back.
-func (p *Placer) Left(id string) bool {
+// requests, whatever the host list says, until the list has shown that it left and came
+// back, or for leftTime. It returns false if that was known.
+func (p *Placer) Left(now time.Time, id string) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	st := p.servers[id]
-	if st == nil || st.left {
+	if st == nil {
 		return false
 	}
-	st.left, st.drains = true, st.Leaving
+	known := st.hasLeft(now)
+	st.left = now
+	if !known {
+		st.drains = st.Leaving
+	}
 
-	return true
+	return !known
+}
+
+// remember keeps what is known of servers that said that they leave and are not listed
+// any more. It needs the lock.
+func (p *Placer) remember(old map[string]*state) {
+	now := p.s.Now()
+	for id, st := range p.departed {
+		if p.servers[id] != nil || !st.hasLeft(now) {
+			delete(p.departed, id)
+		}
+	}
+	for id, st := range old {
+		if p.servers[id] == nil && st.hasLeft(now) {
+			p.departed[id] = st
+		}
+	}
 }
 
 // Rest tells that a server wants no request for a time. It returns the time that is
@@ -50,7 +75,7 @@
 	defer p.mu.Unlock()
 	var least time.Duration
 	for _, st := range p.pools[pool] {
-		if rest := until(now, st.rests); rest > 0 && !st.Leaving && !st.left && (least == 0 || rest < least) {
+		if rest := until(now, st.rests); rest > 0 && !st.Leaving && !st.hasLeft(now) && (least == 0 || rest < least) {
 			least = rest
 		}
 	}
@@ -58,15 +83,19 @@
 	return least
 }
 
-func (st *state) barred(now time.Time) bool { return st.Leaving || st.left || st.rests.After(now) }
+func (st *state) barred(now time.Time) bool {
+	return st.Leaving || st.hasLeft(now) || st.rests.After(now)
+}
+
+func (st *state) hasLeft(now time.Time) bool { return !st.left.IsZero() && now.Sub(st.left) < leftTime }
 
 // follow takes over what the host list says of a server that has said that it leaves.
 func (st *state) follow(leaving bool) {
 	switch {
-	case !st.left:
+	case st.left.IsZero():
 	case leaving:
 		st.drains = true
 	case st.drains:
-		st.left, st.drains = false, false
+		st.left, st.drains = time.Time{}, false
 	}
 }
--- a/internal/placer/notice_test.go
+++ b/internal/placer/notice_test.go
@@ -21,14 +21,14 @@
 		"the lagging list":       {[][]placer.Server{{server}, {server}}, true},
 		"leaving":                {[][]placer.Server{{server}, {leaving}}, true},
 		"leaving and back":       {[][]placer.Server{{leaving}, {server}}, false},
-		"gone and back":          {[][]placer.Server{{}, {server}}, false},
+		"missing for a moment":   {[][]placer.Server{{}, {server}}, true},
 		"back elsewhere":         {[][]placer.Server{{other}}, false},
 		"the list lost for once": {[][]placer.Server{{server}, {leaving}, {leaving}}, true},
 	} {
 		t.Run(name, func(t *testing.T) {
 			p := newPlacer(t)
 			p.SetServers([]placer.Server{server})
-			if got := p.Left("s"); !got {
+			if got := p.Left(time.Now(), "s"); !got {
 				t.Error("first notice: got false, want true")
 			}
 			for _, list := range test.lists {
@@ -55,3 +55,17 @@
 		t.Error("barred after the rest: got true, want false")
 	}
 }
+
+// A server that starts again under its name, while the list shows nothing of it, gets
+// requests again once its word is old.
+func TestLeftEnds(t *testing.T) {
+	now := time.Now()
+	p := newPlacer(t, placer.Server{ID: "s", Pool: "pool"})
+	p.Left(now, "s")
+	if got := p.Barred(now.Add(59*time.Second), "s"); !got {
+		t.Error("barred after 59 s: got false, want true")
+	}
+	if got := p.Barred(now.Add(time.Minute), "s"); got {
+		t.Error("barred after a minute: got true, want false")
+	}
+}
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -71,6 +71,8 @@
 	Penalty, MaxPenalty time.Duration
 	// Draw returns numbers from 0 to below 1.
 	Draw func() float64
+	// Now returns the time; nil for the clock of the process.
+	Now func() time.Time
 }
 
 const (
@@ -104,6 +106,9 @@
 	if s.Draw == nil {
 		s.Draw = rand.Float64
 	}
+	if s.Now == nil {
+		s.Now = time.Now
+	}
 }
 
 // Validate reports every fault at once.
@@ -123,6 +128,9 @@
 	mu      sync.Mutex
 	pools   map[string][]*state
 	servers map[string]*state // by id
+	// departed are servers that said that they leave and are not listed: a list may lack
+	// one for a moment.
+	departed map[string]*state
 }
 
 // state is what this process knows of one server.
@@ -135,9 +143,10 @@
 	avoid    time.Time // until then other servers go first
 	rests    time.Time // until then it gets nothing
 	full     time.Time // until then it is expected to have no memory to reserve
-	// left tells that the server itself said that it leaves; drains that the host list
-	// has said so since.
-	left, drains bool
+	// left is when the server itself said that it leaves, zero if it has not; drains tells
+	// that the host list has said so since.
+	left   time.Time
+	drains bool
 }
 
 // New returns a placer that knows no servers.
@@ -147,7 +156,7 @@
 		return nil, err
 	}
 
-	return &Placer{s: s, pools: make(map[string][]*state), servers: make(map[string]*state)}, nil
+	return &Placer{s: s, pools: make(map[string][]*state), servers: make(map[string]*state), departed: make(map[string]*state)}, nil
 }
 
 // SetServers replaces the known servers. What is known of those that stay is
@@ -159,6 +168,9 @@
 	p.pools, p.servers = make(map[string][]*state), make(map[string]*state, len(list))
 	for _, s := range list {
 		st := old[s.ID]
+		if st == nil {
+			st = p.departed[s.ID]
+		}
 		if st == nil || st.Addr != s.Addr || st.Pool != s.Pool {
 			st = &state{}
 		}
@@ -167,6 +179,7 @@
 		p.servers[s.ID] = st
 		p.pools[s.Pool] = append(p.pools[s.Pool], st)
 	}
+	p.remember(old)
 }
 
 // Count returns the number of servers of a pool that take requests.
--- a/internal/placer/reserve_test.go
+++ b/internal/placer/reserve_test.go
@@ -13,7 +13,7 @@
 	far, near := server("far", "c9", "r9", placer.Decode), server("near", "c1", "r1", placer.Decode)
 	p := newPlacer(t, full, gone, far, near, server("prefill", "c1", "r1", placer.Prefill))
 	p.Full(start, "full", time.Second)
-	p.Left("gone")
+	p.Left(start, "gone")
 	for name, test := range map[string]struct {
 		now  time.Time
 		want string
