Tell a crash from a broken connection in the log, and name the requests that were there

The lines of a request had the id of one attempt only and end=broken for a crash and for a reset alike, so the logs could not tell the hypotheses of docs/incidents/crashing-request.md apart. An entry now gathers the requests whose connections to one server broke, looks whether the server still listens, and writes one line with the digests and ids. The digest moves from the router into a package of its own. No decision changes.

--- a/internal/courier/courier.go
+++ b/internal/courier/courier.go
@@ -179,6 +179,17 @@
 	return response, nil
 }
 
+// Probe opens a connection to addr and closes it, to see whether anything listens there.
+func (c *Courier) Probe(ctx context.Context, addr string) error {
+	l, err := c.dial(ctx, addr)
+	if err != nil {
+		return err
+	}
+	_ = l.Close()
+
+	return nil
+}
+
 // take returns a connection that is kept, unless a fresh one is asked for, or opens one.
 func (c *Courier) take(ctx context.Context, addr string, fresh bool) (*line, error) {
 	if err := ctx.Err(); err != nil {
--- /dev/null
+++ b/internal/digester/digester_test.go
@@ -0,0 +1,25 @@
+package digester_test
+
+import (
+	"testing"
+
+	"github.com/damasklever/damasklever/internal/digester"
+)
+
+// Guards against two requests that are taken for one because their parts run into each
+// other.
+func TestSum(t *testing.T) {
+	seen := make(map[string]string)
+	for name, parts := range map[string][]string{
+		"none": nil, "empty": {""}, "two empty": {"", ""}, "ab": {"ab"}, "a, b": {"a", "b"}, "b, a": {"b", "a"},
+	} {
+		sum := digester.Sum(parts...)
+		if got, want := len(sum), 32; got != want {
+			t.Errorf("%s: length of the digest: got %d, want %d", name, got, want)
+		}
+		if other, ok := seen[sum]; ok {
+			t.Errorf("%s and %s: got the same digest, want two", name, other)
+		}
+		seen[sum] = name
+	}
+}
--- a/internal/gateway/dialect.go
+++ b/internal/gateway/dialect.go
@@ -11,6 +11,9 @@
 // Hints is what a caller says about its request beside the request itself.
 type Hints struct {
 	ID string
+	// Caller tells the requests of two callers apart that are alike otherwise; empty if
+	// the caller is not known.
+	Caller string
 	// Wait is how long the caller waits for the answer, 0 if it does not say.
 	Wait time.Duration
 	// Prompt and Limit are the prompt tokens and the most output tokens of a model
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -28,6 +28,7 @@
 	handed  chan struct{}
 	conns   *connections
 	backlog *backlog
+	witness *witness
 	feed    *feed
 
 	leaving atomic.Bool
@@ -57,6 +58,7 @@
 	if err := registry.Register(g.meters); err != nil {
 		return nil, errors.Newf("register metrics of gateway: %w", err)
 	}
+	g.witness = newWitness(g)
 	g.ctx, g.cancel = context.WithCancel(context.Background())
 
 	return g, nil
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -166,6 +166,7 @@
 	}
 	f.sent(s)
 	f.ran = true
+	f.g.witness.broke(f, s)
 
 	return endBroken
 }
--- a/internal/gateway/prefill.go
+++ b/internal/gateway/prefill.go
@@ -80,6 +80,9 @@
 	f.countPrefill(err == nil && response.Status == http.StatusOK, err)
 	if err != nil {
 		f.doubt(s, err)
+		if !errors.Is(err, courier.ErrNotSent) && ctx.Err() == nil {
+			f.g.witness.broke(f, s)
+		}
 
 		return "", errors.Newf("prefill: %w", err)
 	}
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -12,6 +12,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/damasklever/damasklever/internal/courier"
+	"github.com/damasklever/damasklever/internal/digester"
 	"github.com/damasklever/damasklever/internal/placer"
 	"github.com/damasklever/damasklever/internal/planner"
 	"github.com/damasklever/damasklever/internal/wire"
@@ -29,6 +30,8 @@
 	version uint64 // of the plan
 	target  string // path and query as the caller sent them
 	body    []byte
+	// digest identifies the request when its caller sends it again under another id.
+	digest string
 	begun   time.Time
 	due     time.Time
 	// sends counts the servers that the request was sent to.
@@ -113,6 +116,7 @@
 		return false
 	}
 	f.body = body
+	f.digest = digester.Sum(f.hints.Caller, f.r.Method, f.r.Host, f.target, string(body))
 	f.due = f.begun.Add(time.Duration(f.path.GetTimeout()) * time.Millisecond)
 	if wait := f.hints.Wait; wait > 0 && f.begun.Add(wait).Before(f.due) {
 		f.due = f.begun.Add(wait)
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -166,6 +166,7 @@
 		return endGone
 	}
 	f.g.s.Placer.Failed(f.g.s.Timer.Now(), s.ID)
+	f.g.witness.broke(f, s)
 
 	return endBroken
 }
--- a/internal/router/request.go
+++ b/internal/router/request.go
@@ -1,8 +1,6 @@
 package router
 
 import (
-	"crypto/sha256"
-	"encoding/hex"
 	"net/http"
 	"net/url"
 	"path"
@@ -14,6 +12,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/damasklever/damasklever/internal/admitter"
+	"github.com/damasklever/damasklever/internal/digester"
 	"github.com/damasklever/damasklever/internal/dispatcher"
 	"github.com/damasklever/damasklever/internal/listener"
 	"github.com/damasklever/damasklever/internal/picker"
@@ -122,7 +121,7 @@
 	end := now.Add(timeout(service))
 	p.request = dispatcher.Request{
 		ID: c.ID, Kind: wire.Kind_KIND_MODEL, Service: service.GetName(), Caller: c.Caller,
-		Digest: digest(c.Caller, service.GetName(), c.Prompt), Rank: int(rank.GetLevel()),
+		Digest: digester.Sum(c.Caller, service.GetName(), c.Prompt), Rank: int(rank.GetLevel()),
 		Start: start(now, rank, work), End: end, Prompt: c.Prompt, Prefix: prefixes(c.Prompt),
 		Tokens: tokens, Limit: c.Limit, Pieces: pieces(tokens + c.Limit), Work: work,
 		Stream: time.Duration(c.Limit) * r.settings.Token, Limits: r.settings.Limits,
@@ -220,22 +219,6 @@
 	return out
 }
 
-// digest identifies a request. Each part is preceded by its length, so that
-// parts cannot run into each other.
-func digest(parts ...string) string {
-	h := sha256.New()
-	for _, part := range parts {
-		var size [8]byte
-		for i := range size {
-			size[i] = byte(len(part) >> (8 * i))
-		}
-		h.Write(size[:])
-		h.Write([]byte(part))
-	}
-
-	return hex.EncodeToString(h.Sum(nil)[:16])
-}
-
 // planCall checks a call of a plain service.
 func (r *Router) planCall(now time.Time, v View, c *listener.Call) (*plan, *refusal) {
 	service := v.Service(c.Service)
@@ -252,7 +235,7 @@
 	wait := timeout(service)
 	p.request = dispatcher.Request{
 		ID: c.ID, Kind: wire.Kind_KIND_PLAIN, Service: service.GetName(), Caller: c.Caller,
-		Digest: digest(c.Caller, service.GetName(), c.Method, c.Path, string(c.Body)),
+		Digest: digester.Sum(c.Caller, service.GetName(), c.Method, c.Path, string(c.Body)),
 		Rank:   int(rank.GetLevel()), Start: start(now, rank, 0), End: now.Add(wait),
 		Method: c.Method, Path: c.Path, Headers: headers(c), Body: c.Body,
 		Idempotent: route.GetIdempotent(), Limits: r.settings.Limits,
@@ -271,14 +254,14 @@
 // planClaim chooses the key of a non-idempotent call. The keys of two callers
 // or services never meet.
 func (r *Router) planClaim(p *plan, service *wire.Service, c *listener.Call) {
-	p.digest = digest(c.Method, c.Path, string(c.Body))
+	p.digest = digester.Sum(c.Method, c.Path, string(c.Body))
 	if c.Key != "" {
-		p.request.Key = "key." + digest(service.GetName(), c.Caller, c.Key)
+		p.request.Key = "key." + digester.Sum(service.GetName(), c.Caller, c.Key)
 		p.keep = time.Duration(service.GetRetention()) * time.Second
 
 		return
 	}
-	p.request.Key = "body." + digest(service.GetName(), c.Caller, c.Method, c.Path, string(c.Body))
+	p.request.Key = "body." + digester.Sum(service.GetName(), c.Caller, c.Method, c.Path, string(c.Body))
 	p.keep = r.settings.Window
 }
 
