--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -32,8 +32,8 @@
 	body    []byte
 	// digest identifies the request when its caller sends it again under another id.
 	digest string
-	begun   time.Time
-	due     time.Time
+	begun  time.Time
+	due    time.Time
 	// sends counts the servers that the request was sent to.
 	sends int
 	// reads counts the prefill servers that accepted the prompt.
