Block requests that crash servers at the gateway, for all entries

What callers saw: servers went down one after the other under a request that was sent again and again; N further sends, N crashed servers.

Cause: the product blocks such requests at its own interface, by the agents' record of crashes and blocks in the log. The gateway was built beside that path, had no identity of a request beyond one attempt, took no note of crashes and did not look at the blocks.

Why it works: an entry gathers the requests whose connections to one server broke, looks whether the server still listens, and reports their digests to the log, which puts the reports of one crash together and blocks a digest at its third. Entries have the block with their view, well within the time in which they must know of it. A request that has run well here since its last crash is not reported, and an explained crash counts against nobody else, so innocent neighbours are served.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -58,7 +58,10 @@
 	if err := registry.Register(g.meters); err != nil {
 		return nil, errors.Newf("register metrics of gateway: %w", err)
 	}
-	g.witness = newWitness(g)
+	var err error
+	if g.witness, err = newWitness(g); err != nil {
+		return nil, err
+	}
 	g.ctx, g.cancel = context.WithCancel(context.Background())
 
 	return g, nil
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -50,7 +50,7 @@
 // plain serves a request of a plain service.
 func (f *flight) plain() {
 	var kept *answer // a failure to pass on if the next send is no better
-	for unsent := 0; unsent < maxUnsent; {
+	for unsent := 0; unsent < maxUnsent && f.blocked() == 0; {
 		now := f.g.s.Timer.Now()
 		c, ok := f.g.s.Placer.PickPlain(now, placer.Query{Pool: f.pool, Avoid: f.avoid})
 		if !ok {
@@ -88,6 +88,16 @@
 
 		return
 	}
+	f.unsent()
+}
+
+// unsent refuses a request that reached no server.
+func (f *flight) unsent() {
+	if left := f.blocked(); left > 0 {
+		f.refuse(errBlocked.Error(), left)
+
+		return
+	}
 	f.absent()
 }
 
@@ -120,6 +130,7 @@
 	e := f.judge(s, response)
 	switch {
 	case ended:
+		f.survived(e)
 	case e == endAnswered:
 		got.rest = response.Body
 	default:
@@ -149,6 +160,13 @@
 	}
 }
 
+// survived notes that a server has run the request to its end, if it has.
+func (f *flight) survived(e end) {
+	if e == endAnswered || e == endFailed {
+		f.g.witness.survivors.Ran(f.digest)
+	}
+}
+
 // broken says what an error of a send means and tells the placer.
 func (f *flight) broken(s *placer.Server, err error) end {
 	unsent := errors.Is(err, courier.ErrNotSent)
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -28,6 +28,9 @@
 	if f.g.s.Placer.Barred(f.g.s.Timer.Now(), s.ID) {
 		return nil, errors.Mark(errors.Newf("send to %s: %w", s.ID, errBarred), courier.ErrNotSent)
 	}
+	if f.blocked() > 0 {
+		return nil, errBlocked
+	}
 	r := f.request(send)
 	// A late second copy of an earlier answer bears the same id: it must not be taken for
 	// the answer to this send.
@@ -60,7 +63,7 @@
 
 // doubt makes others go first after a send that failed.
 func (f *flight) doubt(s *placer.Server, err error) {
-	if !errors.Is(err, errBarred) {
+	if !errors.Is(err, errBarred) && !errors.Is(err, errBlocked) {
 		f.g.s.Placer.Failed(f.g.s.Timer.Now(), s.ID)
 	}
 }
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -33,7 +33,9 @@
 	Courier *courier.Courier
 	// Lenders lend the memory of model servers; nil if there are none.
 	Lenders Lenders
-	Timer   timer.Service
+	// Ledger is the record of requests that crash servers; nil if none is kept.
+	Ledger Ledger
+	Timer  timer.Service
 	// Log receives one line a decision; nil discards them.
 	Log *log.Logger
 	// Repeats is the fraction of a pool's requests that all gateways together may
@@ -106,6 +108,9 @@
 	if s.Known == nil {
 		s.Known = func() bool { return true }
 	}
+	if s.Ledger == nil {
+		s.Ledger = noLedger{}
+	}
 	filler.Zero(&s.Stall, defaultStall)
 	filler.Zero(&s.Growth, defaultGrowth)
 	filler.Zero(&s.Step, defaultStep)
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -20,7 +20,7 @@
 func (f *flight) stream() {
 	out := &events{f: f, last: f.hints.Last}
 	var kept *answer
-	for unsent := 0; unsent < maxUnsent; {
+	for unsent := 0; unsent < maxUnsent && f.blocked() == 0; {
 		r, err := f.reserve()
 		if err != nil {
 			f.unserved(out, kept, err)
@@ -74,7 +74,7 @@
 	case errors.As(err, &refused):
 		f.refuse("no room: "+refused.Reason, max(refused.After, f.g.s.Return))
 	case errors.Is(err, errNoServer):
-		f.absent()
+		f.unsent()
 	default:
 		f.refuse("no room in time", f.g.s.Return)
 	}
@@ -129,6 +129,8 @@
 			return nil, f.broken(c.Server, err), err
 		}
 
+		f.survived(e)
+
 		return f.whole(response, body, e, out)
 	}
 	if err := out.copy(response); err != nil {
@@ -137,6 +139,7 @@
 	if send.Handle != "" {
 		f.g.s.Placer.Succeeded(c.Prefill.ID)
 	}
+	f.survived(endAnswered)
 	f.finish("streamed", response.Status, nil)
 
 	return nil, endAnswered, nil
--- a/internal/gateway/witness.go
+++ b/internal/gateway/witness.go
@@ -7,28 +7,72 @@
 	"sync"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
+	"github.com/damasklever/damasklever/internal/blamer"
+	"github.com/damasklever/damasklever/internal/courier"
 	"github.com/damasklever/damasklever/internal/placer"
 )
 
+// Ledger is the record of requests that crash servers, which all gateways share.
+type Ledger interface {
+	// Blocked returns until when a request is blocked; the time is zero if it is not.
+	Blocked(now time.Time, digest string) time.Time
+	// Blame reports the requests that were at a server when it crashed.
+	Blame(ctx context.Context, server string, digests []string) error
+}
+
+// noLedger keeps no record.
+type noLedger struct{}
+
+// Blocked implements Ledger.
+func (noLedger) Blocked(time.Time, string) time.Time { return time.Time{} }
+
+// Blame implements Ledger.
+func (noLedger) Blame(context.Context, string, []string) error { return nil }
+
 const (
 	// gatherTime is how long the requests whose connections to one server break are taken
 	// together: those of one crash break at the same moment.
 	gatherTime = 100 * time.Millisecond
 	// maxGathered bounds the requests of one crash.
 	maxGathered = 256
+	// reportTime bounds the report of a crash; a control group that has lost its leader
+	// has another one sooner.
+	reportTime = 30 * time.Second
 )
 
-// witness notes which requests were at a server when their connections to it broke, and
-// finds out whether the server has crashed.
+// errBlocked keeps a request that crashes servers from being sent.
+var errBlocked = errors.Mark(errors.New("the request has crashed servers"), courier.ErrNotSent)
+
+// blocked returns how long the request is blocked for, 0 if it may be sent.
+func (f *flight) blocked() time.Duration {
+	now := f.g.s.Timer.Now()
+	until := f.g.s.Ledger.Blocked(now, f.digest)
+	if until.IsZero() {
+		return 0
+	}
+
+	return until.Sub(now)
+}
+
+// witness notes which requests were at a server when their connections to it broke, finds
+// out whether the server has crashed, and reports those that may have caused it.
 type witness struct {
-	g *Gateway
+	g         *Gateway
+	survivors *blamer.Survivors
 
 	mu     sync.Mutex
 	broken map[string]map[string]string // by server, the id of an attempt by the digest of its request
 }
 
-func newWitness(g *Gateway) *witness {
-	return &witness{g: g, broken: make(map[string]map[string]string)}
+func newWitness(g *Gateway) (*witness, error) {
+	survivors, err := blamer.NewSurvivors()
+	if err != nil {
+		return nil, errors.Newf("witness of crashes: %w", err)
+	}
+
+	return &witness{g: g, survivors: survivors, broken: make(map[string]map[string]string)}, nil
 }
 
 // broke notes that the connection of a request to a server broke. Its caller is a request
@@ -61,13 +105,25 @@
 	if ctx.Err() != nil {
 		return
 	}
-	message := "connections to a server broke"
+	all := slices.Sorted(maps.Keys(digests))
+	entry := w.g.s.Log.Warn().Str("server", s.ID).Str("addr", s.Addr).Strs("digests", all).
+		Strs("ids", slices.Sorted(maps.Values(digests)))
 	err := w.g.s.Courier.Probe(ctx, s.Addr)
-	if err != nil {
-		message = "server crashed under requests"
+	if err == nil {
+		entry.Msg("connections to a server broke")
+
+		return
+	}
+	suspects := w.survivors.Suspects(all)
+	entry.Strs("suspects", suspects).Err(err).Msg("server crashed under requests")
+	if len(suspects) == 0 {
+		return
+	}
+	bounded, cancel := context.WithTimeout(ctx, reportTime)
+	defer cancel()
+	if err := w.g.s.Ledger.Blame(bounded, s.ID, suspects); err != nil {
+		w.g.s.Log.Warn().Str("server", s.ID).Strs("suspects", suspects).Err(err).Msg("crash not reported")
 	}
-	w.g.s.Log.Warn().Str("server", s.ID).Str("addr", s.Addr).Strs("digests", slices.Sorted(maps.Keys(digests))).
-		Strs("ids", slices.Sorted(maps.Values(digests))).Err(err).Msg(message)
 }
 
 func (w *witness) gather(ctx context.Context) {
--- a/internal/registrar/crash.go
+++ b/internal/registrar/crash.go
@@ -61,10 +61,39 @@
 	}
 }
 
+// count notes a report and returns false if it tells nothing new: the crash was reported
+// whole before, or is explained.
+func (c *crashes) count(now time.Time, m *wire.Blame, digests []string) bool {
+	crash := c.byID[m.GetCrash()]
+	if crash == nil || m.GetSpan() > 0 && now.UnixMilli()-crash.GetTime() >= m.GetSpan() {
+		c.add(&wire.Crash{Id: m.GetCrash(), Time: now.UnixMilli(), Digests: digests})
+
+		return true
+	}
+	if m.GetSpan() == 0 || len(crash.GetDigests()) == 0 {
+		return false
+	}
+	c.join(crash, digests)
+
+	return true
+}
+
+// join adds the digests of a further report of a crash.
+func (c *crashes) join(crash *wire.Crash, digests []string) {
+	for _, d := range digests {
+		if !slices.Contains(crash.GetDigests(), d) {
+			crash.Digests = append(crash.Digests, d)
+			c.suspects[d] = append(c.suspects[d], crash)
+		}
+	}
+}
+
 func (c *crashes) forget() {
 	crash := c.order.pop()
 	c.explain(crash)
-	delete(c.byID, crash.GetId())
+	if c.byID[crash.GetId()] == crash {
+		delete(c.byID, crash.GetId())
+	}
 }
 
 // explain takes a crash off all its suspects, but keeps its id, so that a
@@ -98,17 +127,19 @@
 		return invalid("%w", err)
 	}
 	hold := time.Duration(limits.GetHold()) * time.Second
-	if r.crashes.byID[m.GetCrash()] != nil {
-		return done("the crash was counted before")
-	}
 	digests := slices.Clone(m.GetDigests())
 	slices.Sort(digests)
 	digests = slices.DeleteFunc(slices.Compact(digests), func(d string) bool { return d == "" })
-	crash := &wire.Crash{Id: m.GetCrash(), Time: now.UnixMilli(), Digests: digests}
-	r.crashes.add(crash)
+	if !r.crashes.count(now, m, digests) {
+		return done("the crash was counted before")
+	}
+	after := blockAfter
+	if m.GetAfter() > 0 {
+		after = int(m.GetAfter())
+	}
 	var blocked []string
 	for _, d := range digests {
-		if len(r.crashes.suspects[d]) >= blockAfter || r.blockOf(d) != nil {
+		if len(r.crashes.suspects[d]) >= after || r.blockOf(d) != nil {
 			blocked = append(blocked, d)
 		}
 	}
--- a/internal/registrar/crash_test.go
+++ b/internal/registrar/crash_test.go
@@ -53,6 +53,43 @@
 			m.must("release digest p")
 			m.blame("3", "p")
 		}, "", "p", 0},
+		"three crashes block for entries": {func(m *machine) {
+			m.witness("s", "p")
+			m.witness("t", "p")
+			m.witness("u", "p")
+		}, "p", "", 3},
+		"two crashes do not": {func(m *machine) { m.witness("s", "p"); m.witness("t", "p") }, "", "p", 0},
+		"reports of two entries on one crash": {func(m *machine) {
+			m.witness("s", "p")
+			m.witness("s", "p", "q")
+			m.witness("t", "p")
+			m.restart()
+			m.witness("t", "p")
+		}, "", "pq", 0},
+		"second report has the culprit": {func(m *machine) {
+			m.witness("s", "p")
+			m.witness("t", "p")
+			m.witness("u", "q")
+			m.witness("u", "p")
+		}, "p", "q", 3},
+		"neighbour at two crashes": {func(m *machine) {
+			m.witness("s", "p", "q")
+			m.witness("t", "p", "q")
+			m.witness("u", "p", "r")
+			m.witness("v", "q")
+		}, "p", "qr", 3},
+		"report that comes after the block": {func(m *machine) {
+			m.witness("s", "p", "q")
+			m.witness("t", "p", "q")
+			m.witness("u", "p")
+			m.witness("u", "q")
+		}, "p", "q", 3},
+		"server that starts under its old name": {func(m *machine) {
+			for range 3 {
+				m.witness("s", "p")
+				m.now = m.now.Add(2 * time.Second)
+			}
+		}, "p", "", 3},
 		"by an operator": {func(m *machine) { m.must("block digest p for 1m") }, "p", "", 0},
 	}
 	for name, test := range tests {
--- a/internal/registrar/helper_test.go
+++ b/internal/registrar/helper_test.go
@@ -71,6 +71,13 @@
 	}}})
 }
 
+// witness reports a crash as an entry does.
+func (m *machine) witness(server string, digests ...string) {
+	m.apply(&wire.Command{Id: m.id(), Body: &wire.Command_Blame{Blame: &wire.Blame{
+		Crash: "server " + server, Server: server, Digests: digests, After: 3, Span: 2000,
+	}}})
+}
+
 func (m *machine) register(name string, epoch uint64, gone bool) {
 	m.apply(&wire.Command{Id: m.id(), Body: &wire.Command_Register{Register: registration(name, epoch, gone)}})
 }
