Let in callers by their customer's key, and tell servers whose request it is

Plans now carry customers with keys, rank and limits; a request needs a known key unless its path is open; servers get the customer's name and never the key; a customer's rank goes before the path's; plans in which two customers share a key are invalid.

Limits of rate are not enforced yet.

--- a/internal/gateway/dialect.go
+++ b/internal/gateway/dialect.go
@@ -6,14 +6,14 @@
 
 	"github.com/damasklever/damasklever/internal/courier"
 	"github.com/damasklever/damasklever/internal/placer"
+	"github.com/damasklever/damasklever/internal/wire"
 )
 
 // Hints is what a caller says about its request beside the request itself.
 type Hints struct {
 	ID string
-	// Caller tells the requests of two callers apart that are alike otherwise; empty if
-	// the caller is not known.
-	Caller string
+	// Key is the key of the caller's customer, empty if the request carries none.
+	Key string
 	// Wait is how long the caller waits for the answer, 0 if it does not say.
 	Wait time.Duration
 	// Prompt and Limit are the prompt tokens and the most output tokens of a model
@@ -34,6 +34,10 @@
 	// Left is the time until the answer is due.
 	Left time.Duration
 	Rank int32
+	// Customer is whose request it is, nil if that is not known. Guarded tells that
+	// requests carry keys, which servers must not see.
+	Customer *wire.Customer
+	Guarded  bool
 	// Prefill asks for the prompt to be read and kept, without an answer.
 	Prefill bool
 	// Source is the address of the server that keeps the prompt, and Handle the
@@ -59,6 +63,8 @@
 type Dialect interface {
 	// Hints reads what the caller says. The error tells the caller what is wrong.
 	Hints(h http.Header) (Hints, error)
+	// Challenge says which key a request must carry, for the WWW-Authenticate header.
+	Challenge() string
 	// Header returns the end-to-end headers of one send. Those that the system sets
 	// are taken out if the caller sent them.
 	Header(caller http.Header, s Send) http.Header
--- a/internal/gateway/hold.go
+++ b/internal/gateway/hold.go
@@ -49,7 +49,7 @@
 		return r, err
 	}
 	limit := f.patience() - answerMargin
-	l, now := line{f.pool, int(f.path.GetRank())}, f.g.s.Timer.Now()
+	l, now := line{f.pool, int(f.rank())}, f.g.s.Timer.Now()
 	if left := limit - f.lead() - now.Sub(f.begun); !f.g.backlog.enter(now, l, left) {
 		f.g.s.Log.Info().Str("id", f.hints.ID).Int("rank", l.rank).Dur("left", left).Msg("late and not expected to get memory")
 
@@ -80,7 +80,7 @@
 		if len(candidates) == 0 && f.g.s.Placer.Count(f.pool) == 0 {
 			return nil, errNoServer
 		}
-		f.pause(time.Duration((1 + rand.Float64()) * float64(f.path.GetRank()+1) * float64(holdPause))) //nolint:gosec // no secret
+		f.pause(time.Duration((1 + rand.Float64()) * float64(f.rank()+1) * float64(holdPause))) //nolint:gosec // no secret
 	}
 
 	return nil, context.Cause(f.ctx)
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -20,16 +20,19 @@
 
 // flight is one request of a caller on its way.
 type flight struct {
-	g       *Gateway
-	w       http.ResponseWriter
-	r       *http.Request
-	ctx     context.Context //nolint:containedctx // it is the lifetime of the request
-	hints   Hints
-	path    *wire.Path
-	pool    string
-	version uint64 // of the plan
-	target  string // path and query as the caller sent them
-	body    []byte
+	g     *Gateway
+	w     http.ResponseWriter
+	r     *http.Request
+	ctx   context.Context //nolint:containedctx // it is the lifetime of the request
+	hints Hints
+	path  *wire.Path
+	// customer is whose request it is, nil if that is not known.
+	customer *wire.Customer
+	guarded  bool // by keys
+	pool     string
+	version  uint64 // of the plan
+	target   string // path and query as the caller sent them
+	body     []byte
 	// digest identifies the request when its caller sends it again under another id.
 	digest string
 	begun  time.Time
@@ -101,6 +104,13 @@
 
 		return false
 	}
+	f.guarded, f.customer = plan.Guarded(), plan.Customer(f.hints.Key)
+	if f.guarded && f.customer == nil && !f.path.GetOpen() {
+		f.w.Header().Set("Www-Authenticate", f.g.s.Dialect.Challenge())
+		f.fail(http.StatusUnauthorized, "the key is missing or unknown")
+
+		return false
+	}
 	f.pool = planner.Choose(f.path, draw())
 	limit := boundsOf(plan.Bounds()).body
 	body, err := io.ReadAll(http.MaxBytesReader(f.w, f.r.Body, limit))
@@ -116,7 +126,7 @@
 		return false
 	}
 	f.body = body
-	f.digest = digester.Sum(f.hints.Caller, f.r.Method, f.r.Host, f.target, string(body))
+	f.digest = digester.Sum(f.caller(), f.r.Method, f.r.Host, f.target, string(body))
 	f.due = f.begun.Add(time.Duration(f.path.GetTimeout()) * time.Millisecond)
 	if wait := f.hints.Wait; wait > 0 && f.begun.Add(wait).Before(f.due) {
 		f.due = f.begun.Add(wait)
@@ -125,6 +135,24 @@
 	return true
 }
 
+// caller tells the requests of two callers apart that are alike otherwise.
+func (f *flight) caller() string {
+	if f.customer != nil {
+		return f.customer.GetName()
+	}
+
+	return f.hints.Key
+}
+
+// rank is the request's rank, 0 for the most urgent.
+func (f *flight) rank() int32 {
+	if f.customer != nil && f.customer.Rank != nil {
+		return f.customer.GetRank()
+	}
+
+	return f.path.GetRank()
+}
+
 // target returns the path and query as they were sent, or "".
 func target(r *http.Request) string {
 	if strings.HasPrefix(r.RequestURI, "/") {
@@ -155,7 +183,7 @@
 
 // request is one send of the flight.
 func (f *flight) request(s Send) *courier.Request {
-	s.Left, s.Rank = f.left(), f.path.GetRank()
+	s.Left, s.Rank, s.Customer, s.Guarded = f.left(), f.rank(), f.customer, f.guarded
 
 	return &courier.Request{
 		Method: f.r.Method, Target: f.target, Host: f.r.Host, Body: f.body,
--- a/internal/gateway/reply.go
+++ b/internal/gateway/reply.go
@@ -157,9 +157,9 @@
 // finish logs and counts the end of a request.
 func (f *flight) finish(reason string, status int, err error) {
 	took := f.g.s.Timer.Now().Sub(f.begun)
-	f.g.meters.observe(f.pool, f.path.GetRank(), status, took)
+	f.g.meters.observe(f.pool, f.rank(), status, took)
 	entry := f.g.s.Log.Info().Str("id", f.hints.ID).Str("path", f.path.GetName()).Str("pool", f.pool).
-		Uint64("plan", f.version).Int32("rank", f.path.GetRank()).Int("status", status).Int("sends", f.sends).
+		Uint64("plan", f.version).Int32("rank", f.rank()).Int("status", status).Int("sends", f.sends).
 		Int("prompt", f.hints.Prompt).Int("limit", f.hints.Limit).Int("guess", f.hints.Guess).
 		Dur("took", took).Str("reason", reason)
 	if err != nil {
--- a/internal/gateway/reserve.go
+++ b/internal/gateway/reserve.go
@@ -69,7 +69,7 @@
 func (f *flight) reserve() (*reservation, error) {
 	q := placer.Query{Pool: f.pool, Prompt: f.hints.Prompt, Avoid: f.avoid}
 	need := f.memory()
-	decode := f.rank(q, placer.Decode, need, nil)
+	decode := f.lent(q, placer.Decode, need, nil)
 	if len(decode) == 0 {
 		return f.unlent(q)
 	}
@@ -108,12 +108,12 @@
 	return &reservation{choice: c}, nil
 }
 
-// rank orders the servers of a stage that have lenders.
-func (f *flight) rank(q placer.Query, stage placer.Stage, need int, other *placer.Server) []placer.Candidate {
+// lent orders the servers of a stage that have lenders.
+func (f *flight) lent(q placer.Query, stage placer.Stage, need int, other *placer.Server) []placer.Candidate {
 	if f.g.s.Lenders == nil {
 		return nil
 	}
-	rank := int(f.path.GetRank())
+	rank := int(f.rank())
 
 	return f.g.s.Placer.Rank(f.g.s.Timer.Now(), q, stage, need, other, func(id string) (placer.Lent, bool) {
 		l, ok := f.g.s.Lenders.Load(id)
@@ -153,7 +153,7 @@
 func (f *flight) borrowDecode(candidates []placer.Candidate, need int) (*borrower.Grant, int, error) {
 	a := borrower.Ask{
 		ID: f.hints.ID, Phase: wire.Phase_PHASE_DECODE, Tokens: need, Cost: f.duration(), Service: f.pool, Caller: "-",
-		Rank: int(f.path.GetRank()),
+		Rank: int(f.rank()),
 	}
 	servers := f.askable(candidates, need)
 	target := time.Duration(f.path.GetTarget()) * time.Millisecond
@@ -239,7 +239,7 @@
 	var least time.Duration
 	for _, c := range candidates {
 		l, ok := f.g.s.Lenders.Load(c.Server.ID)
-		rank := min(int(f.path.GetRank()), len(l.Waits)-1)
+		rank := min(int(f.rank()), len(l.Waits)-1)
 		if ok && rank >= 0 && (least == 0 || l.Waits[rank] < least) {
 			least = l.Waits[rank]
 		}
@@ -261,7 +261,7 @@
 // borrowPrefill takes a turn at a prefill server, unless the decode server itself
 // is expected to be as fast.
 func (f *flight) borrowPrefill(q placer.Query, r *reservation, rank int) {
-	candidates := f.rank(q, placer.Prefill, 1, r.choice.Server)
+	candidates := f.lent(q, placer.Prefill, 1, r.choice.Server)
 	if len(candidates) == 0 || candidates[0].Cost > directRatio*f.reading()+leadTime {
 		return
 	}
--- a/internal/gateway/rig_test.go
+++ b/internal/gateway/rig_test.go
@@ -30,7 +30,7 @@
 type dialect struct{}
 
 func (dialect) Hints(h http.Header) (gateway.Hints, error) {
-	out := gateway.Hints{ID: h.Get("Id"), Last: h.Get("Last")}
+	out := gateway.Hints{ID: h.Get("Id"), Key: h.Get("Key"), Last: h.Get("Last")}
 	if out.ID == "" {
 		return out, errors.New("the header Id is missing")
 	}
@@ -44,6 +44,13 @@
 
 func (dialect) Header(caller http.Header, s gateway.Send) http.Header {
 	h := gateway.EndToEnd(caller)
+	if s.Guarded {
+		h.Del("Key")
+	}
+	if s.Customer != nil {
+		h.Set("Customer", s.Customer.GetName())
+	}
+	h.Set("Rank", strconv.Itoa(int(s.Rank)))
 	h.Set("Server", s.Server)
 	h.Set("Left", strconv.FormatInt(s.Left.Milliseconds(), 10))
 	h.Set("Last", s.Last)
@@ -58,6 +65,8 @@
 	return h
 }
 
+func (dialect) Challenge() string { return "Key" }
+
 func (dialect) Refused(_ int, h http.Header) bool { return h.Get("Refused") != "" }
 func (dialect) Notice(_ int, h http.Header) gateway.Notice {
 	rest, _ := time.ParseDuration(h.Get("Rest"))
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -33,6 +33,9 @@
 		}
 		pools[pool.GetName()] = true
 	}
+	if err := validateCustomers(p.GetCustomers()); err != nil {
+		faults = append(faults, err)
+	}
 	places := make(map[place]bool)
 	for _, path := range p.GetPaths() {
 		at := place{strings.ToLower(path.GetHost()), path.GetPrefix()}
@@ -51,6 +54,27 @@
 	return nil
 }
 
+func validateCustomers(customers []*wire.Customer) error {
+	var faults []error
+	owners := make(map[string]int)
+	for i, c := range customers {
+		if c.GetName() == "" {
+			faults = append(faults, errors.New("customer without a name"))
+		}
+		if rate, burst := c.GetRate(), c.GetBurst(); !(rate >= 0) || !(burst >= 0) || c.GetPlain() < 0 { // not a number is refused too
+			faults = append(faults, errors.Newf("customer %q: rate, burst and plain must not be negative", c.GetName()))
+		}
+		for _, key := range c.GetKeys() {
+			if owner, ok := owners[key]; ok && owner != i {
+				faults = append(faults, errors.Newf("customers %q and %q share a key", customers[owner].GetName(), c.GetName()))
+			}
+			owners[key] = i
+		}
+	}
+
+	return errors.Join(faults...)
+}
+
 func validatePath(path *wire.Path, pools map[string]bool) error {
 	prefix := path.GetPrefix()
 	switch {
@@ -85,6 +109,7 @@
 	plan  *wire.Plan
 	paths map[place]*wire.Path
 	pools map[string]*wire.Pool
+	keys  map[string]*wire.Customer
 }
 
 // New indexes a plan that Validate has accepted.
@@ -92,6 +117,12 @@
 	out := &Planner{
 		plan: p, paths: make(map[place]*wire.Path, len(p.GetPaths())),
 		pools: make(map[string]*wire.Pool, len(p.GetPools())),
+		keys:  make(map[string]*wire.Customer, len(p.GetCustomers())),
+	}
+	for _, c := range p.GetCustomers() {
+		for _, key := range c.GetKeys() {
+			out.keys[key] = c
+		}
 	}
 	for _, path := range p.GetPaths() {
 		out.paths[place{strings.ToLower(path.GetHost()), path.GetPrefix()}] = path
@@ -109,6 +140,15 @@
 // Bounds returns the limits for what callers send.
 func (p *Planner) Bounds() *wire.Bounds { return p.plan.GetBounds() }
 
+// Guarded tells whether requests need a key, unless their path is open.
+func (p *Planner) Guarded() bool { return p.plan.GetGuarded() }
+
+// Customer returns the customer that holds a key, or nil.
+func (p *Planner) Customer(key string) *wire.Customer { return p.keys[key] }
+
+// Customers returns all customers.
+func (p *Planner) Customers() []*wire.Customer { return p.plan.GetCustomers() }
+
 // Pool returns a pool by name, or nil.
 func (p *Planner) Pool(name string) *wire.Pool { return p.pools[name] }
 
--- a/internal/planner/planner_test.go
+++ b/internal/planner/planner_test.go
@@ -1,6 +1,7 @@
 package planner_test
 
 import (
+	"math"
 	"testing"
 
 	"github.com/cockroachdb/errors"
@@ -41,7 +42,19 @@
 		"no timeout":      {func(p *wire.Plan) { p.Paths[0].Timeout = 0 }, false},
 		"open prefix":     {func(p *wire.Plan) { p.Paths[0].Prefix = "/x" }, false},
 		"no nature":       {func(p *wire.Plan) { p.Paths[0].Nature = wire.Nature_NATURE_UNKNOWN }, false},
-		"pool twice":      {func(p *wire.Plan) { p.Pools[1].Name = "a" }, false},
+		"shared key": {func(p *wire.Plan) {
+			p.Customers = []*wire.Customer{{Name: "a", Keys: []string{"k"}}, {Name: "b", Keys: []string{"j", "k"}}}
+		}, false},
+		"key twice at one customer": {func(p *wire.Plan) {
+			p.Customers = []*wire.Customer{{Name: "a", Keys: []string{"k", "k"}}}
+		}, true},
+		"customer without keys": {func(p *wire.Plan) { p.Customers = []*wire.Customer{{Name: "a"}} }, true},
+		"customer without name": {func(p *wire.Plan) { p.Customers = []*wire.Customer{{}} }, false},
+		"negative rate":         {func(p *wire.Plan) { p.Customers = []*wire.Customer{{Name: "a", Rate: -1}} }, false},
+		"rate that is no number": {func(p *wire.Plan) {
+			p.Customers = []*wire.Customer{{Name: "a", Rate: math.NaN()}}
+		}, false},
+		"pool twice": {func(p *wire.Plan) { p.Pools[1].Name = "a" }, false},
 	} {
 		t.Run(name, func(t *testing.T) {
 			p := proto.CloneOf(plan())
--- a/internal/registrar/object.go
+++ b/internal/registrar/object.go
@@ -7,6 +7,7 @@
 	"strings"
 
 	"google.golang.org/protobuf/proto"
+	"google.golang.org/protobuf/reflect/protoreflect"
 
 	"github.com/damasklever/damasklever/internal/parser"
 	"github.com/damasklever/damasklever/internal/wire"
@@ -178,10 +179,25 @@
 		u.Blocks = append(u.Blocks, m)
 	case *wire.Plan:
 		// Only operators read the source, which is most of a plan.
-		u.Plan = &wire.Plan{Version: m.GetVersion(), Paths: m.GetPaths(), Pools: m.GetPools(), Bounds: m.GetBounds()}
+		u.Plan = withoutSource(m)
 	}
 }
 
+// withoutSource returns a plan as subscribers need it, which shares all else with the
+// stored one.
+func withoutSource(p *wire.Plan) *wire.Plan {
+	out := &wire.Plan{}
+	p.ProtoReflect().Range(func(field protoreflect.FieldDescriptor, value protoreflect.Value) bool {
+		if field.Name() != "source" {
+			out.ProtoReflect().Set(field, value)
+		}
+
+		return true
+	})
+
+	return out
+}
+
 // removalKind names the object of a digest as the schema does.
 func removalKind(kind string) string {
 	if kind == parser.Digest {
--- a/internal/registrar/plan_test.go
+++ b/internal/registrar/plan_test.go
@@ -67,3 +67,19 @@
 		t.Errorf("version sent to subscribers: got %d, want %d", got, want)
 	}
 }
+
+// Guards against a part of the plan that control keeps and entries never see.
+func TestPlanOfSubscribers(t *testing.T) {
+	m := newMachine(t)
+	rank := int32(1)
+	plan := &wire.Plan{
+		Version: 1, Source: []byte("text"), Pools: []*wire.Pool{{Name: "a"}}, Bounds: &wire.Bounds{Idle: 5}, Guarded: true,
+		Customers: []*wire.Customer{{Name: "c", Keys: []string{"k"}, Rank: &rank, Rate: 5, Burst: 6, Unit: wire.Unit_UNIT_TOKENS, Plain: 7}},
+	}
+	m.apply(&wire.Command{Id: "p", Body: &wire.Command_Plan{Plan: plan}})
+	want := proto.CloneOf(plan)
+	want.Source = nil
+	if got := m.UpdateSince(0).GetPlan(); !proto.Equal(got, want) {
+		t.Errorf("plan: got %v, want %v", got, want)
+	}
+}
