Keep customers within their rates over all entries

A customer has one rate for all entries together. Entries report demand and use with their heartbeats, the leader of the control hosts divides the rate by demand five times a second, and the parts come back with the pulses. A customer below its rate is open; what it used too much until the leader noticed is taken off afterwards. Requests that have not run give back what they took.

--- a/internal/controller/attachments.go
+++ b/internal/controller/attachments.go
@@ -19,6 +19,7 @@
 	index   uint64 // highest index the process reported
 	leaving bool
 	flights []*wire.Flight
+	usages  []*wire.Usage
 }
 
 func newAttachments() *attachments {
@@ -48,6 +49,7 @@
 	s.index = max(s.index, b.GetIndex())
 	s.leaving = s.leaving || b.GetLeaving()
 	s.flights = b.GetFlights()
+	s.usages = b.GetUsages()
 }
 
 // wake closes the channel that changed returned.
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -13,6 +13,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/damasklever/damasklever/internal/limiter"
 	"github.com/damasklever/damasklever/internal/lister"
 	"github.com/damasklever/damasklever/internal/messenger"
 	"github.com/damasklever/damasklever/internal/recorder"
@@ -80,6 +81,10 @@
 	counting  bool   // a census is running
 	announced uint64 // mark that the other members were told
 	hosts     hostList
+	quotas    quotas
+	limits    *limiter.Allocator    // of the leader
+	allotted  []*wire.Quota         // by the leader, in its last round
+	dividing  bool                  // quotas are being exchanged
 	missing   map[entryID]time.Time // entry processes with claims that are not attached, since when
 }
 
@@ -187,6 +192,7 @@
 	if c.s.Hosts != nil {
 		defer c.s.Timer.Every(c.s.List/listLooks, func(time.Time) { c.post(c.list) })()
 	}
+	defer c.s.Timer.Every(quotaInterval, func(time.Time) { c.post(c.divide) })()
 	if c.s.Repair {
 		defer c.s.Timer.Every(repairInterval, func(time.Time) { c.post(c.trim) })()
 		c.work.Add(1)
--- a/internal/controller/fake_test.go
+++ b/internal/controller/fake_test.go
@@ -19,6 +19,7 @@
 	Results map[string]uint64 // index by command id
 	Running map[string]uint64 // epoch of the entries with running claims
 	Lost    []string
+	plan    *wire.Plan
 
 	frozen chan struct{} // closed when the event loop is frozen
 	thawed chan struct{}
@@ -124,7 +125,19 @@
 }
 
 // Plan implements State.
-func (f *fakeState) Plan() *wire.Plan { return nil }
+func (f *fakeState) Plan() *wire.Plan {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+
+	return f.plan
+}
+
+// limit makes a customer with a rate part of the plan.
+func (f *fakeState) limit(name string, rate float64) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.plan = &wire.Plan{Customers: []*wire.Customer{{Name: name, Rate: rate, Burst: rate}}}
+}
 
 // Entries implements State.
 func (f *fakeState) Entries() int { return 0 }
--- a/internal/controller/server.go
+++ b/internal/controller/server.go
@@ -53,6 +53,8 @@
 		_ = s.Send(&wire.Response{Body: &wire.Response_Table{Table: c.query(ctx, body.Query)}})
 	case *wire.Request_Greet:
 		_ = s.Send(&wire.Response{Body: &wire.Response_Greeting{Greeting: c.greeting()}})
+	case *wire.Request_Quotas:
+		_ = s.Send(&wire.Response{Body: &wire.Response_Quotas{Quotas: c.quotas.exchange(c.s.Timer.Now(), c.attachments, body.Quotas)}})
 	case *wire.Request_Census:
 		_ = s.Send(&wire.Response{Body: &wire.Response_Count{Count: c.attachments.count(body.Census, c.s.Number)}})
 	}
@@ -191,7 +193,7 @@
 			c.pause(ctx, updateInterval)
 		case <-listed:
 		case <-pulse:
-			if c.sendPulse(s, sent) != nil {
+			if c.sendPulse(s, sent, a) != nil {
 				return
 			}
 		}
@@ -247,8 +249,11 @@
 // sendPulse names the index that the subscriber has after the updates sent, or
 // the one of this host if that is behind. An index that this host has reached
 // but not yet sent would look like a subscriber that misses updates.
-func (c *Controller) sendPulse(s *messenger.Stream, sent uint64) error {
+func (c *Controller) sendPulse(s *messenger.Stream, sent uint64, a *wire.Attach) error {
 	p := &wire.Pulse{Lease: neverHeard}
+	if a.GetRole() == entryRole {
+		p.Allotments, p.Allotted = c.quotas.allotments(c.s.Timer.Now(), entryID{a.GetName(), a.GetEpoch()})
+	}
 	c.do(func() {
 		for _, m := range c.members.GetVoters() {
 			p.Hosts = append(p.Hosts, m.GetAddr())
--- /dev/null
+++ b/internal/gateway/customer.go
@@ -0,0 +1,70 @@
+package gateway
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/damasklever/damasklever/internal/limiter"
+	"github.com/damasklever/damasklever/internal/wire"
+)
+
+// Limiter keeps customers within their rates.
+type Limiter interface {
+	// Take admits a request, or returns after which time it may come again.
+	Take(now time.Time, c *wire.Customer, cost float64) (time.Duration, bool)
+	// Return gives back what a request took that has not run.
+	Return(c *wire.Customer, cost float64)
+}
+
+// noLimiter admits everything.
+type noLimiter struct{}
+
+// Take implements Limiter.
+func (noLimiter) Take(time.Time, *wire.Customer, float64) (time.Duration, bool) { return 0, true }
+
+// Return implements Limiter.
+func (noLimiter) Return(*wire.Customer, float64) {}
+
+// caller tells the requests of two callers apart that are alike otherwise.
+func (f *flight) caller() string {
+	if f.customer != nil {
+		return f.customer.GetName()
+	}
+
+	return f.hints.Key
+}
+
+// rank is the request's rank, 0 for the most urgent.
+func (f *flight) rank() int32 {
+	if f.customer != nil && f.customer.Rank != nil {
+		return f.customer.GetRank()
+	}
+
+	return f.path.GetRank()
+}
+
+// admit takes the request from its customer's rate. It refuses one that is beyond it, and
+// returns false.
+func (f *flight) admit() bool {
+	if f.customer == nil {
+		return true
+	}
+	cost := limiter.Cost(f.customer, f.hints.Prompt+f.hints.Limit)
+	after, ok := f.g.s.Limiter.Take(f.g.s.Timer.Now(), f.customer, cost)
+	if !ok {
+		f.refuseWith(http.StatusTooManyRequests, "the customer is over its rate", after)
+
+		return false
+	}
+	f.cost = cost
+
+	return true
+}
+
+// unadmit gives back what a request took that has not run.
+func (f *flight) unadmit() {
+	if f.cost > 0 {
+		f.g.s.Limiter.Return(f.customer, f.cost)
+		f.cost = 0
+	}
+}
--- a/internal/gateway/customer_test.go
+++ b/internal/gateway/customer_test.go
@@ -2,8 +2,11 @@
 
 import (
 	"net/http"
+	"sync"
 	"testing"
+	"time"
 
+	"github.com/damasklever/damasklever/internal/gateway"
 	"github.com/damasklever/damasklever/internal/placer"
 	"github.com/damasklever/damasklever/internal/planner"
 	"github.com/damasklever/damasklever/internal/wire"
@@ -59,3 +62,68 @@
 		})
 	}
 }
+
+// limits is a fake of the limiter.
+type limits struct {
+	mu       sync.Mutex
+	left     float64
+	returned float64
+}
+
+func (l *limits) Take(_ time.Time, _ *wire.Customer, cost float64) (time.Duration, bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.left < cost {
+		return 1500 * time.Millisecond, false
+	}
+	l.left -= cost
+
+	return 0, true
+}
+
+func (l *limits) Return(_ *wire.Customer, cost float64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.returned += cost
+}
+
+// Guards against a request beyond its customer's rate that reaches a server, and against
+// rate that is used up by requests which have not run.
+func TestRates(t *testing.T) {
+	plan := standardPlan()
+	plan.Guarded = true
+	plan.Customers = []*wire.Customer{{Name: "c", Keys: []string{"k"}, Rate: 1, Unit: wire.Unit_UNIT_TOKENS, Plain: 200}}
+	for name, test := range map[string]struct {
+		left     float64
+		prompt   string
+		handler  http.HandlerFunc
+		status   int
+		sends    int
+		after    string
+		returned float64
+	}{
+		"within":             {1000, "900", answering(http.StatusOK, "good"), http.StatusOK, 1, "", 0},
+		"beyond":             {1000, "1100", answering(http.StatusOK, "good"), http.StatusTooManyRequests, 0, "1.5", 0},
+		"plain, beyond":      {100, "", answering(http.StatusOK, "good"), http.StatusTooManyRequests, 0, "1.5", 0},
+		"refused by servers": {1000, "900", refusing, http.StatusServiceUnavailable, 1, "0.2", 900},
+		"failed":             {1000, "900", answering(http.StatusInternalServerError, ""), http.StatusInternalServerError, 1, "", 0},
+		"broken":             {1000, "900", breaking, http.StatusBadGateway, 1, "", 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			l := &limits{left: test.left}
+			b := newBackend(t, "s", test.handler)
+			r := newRigWith(t, func(s *gateway.Settings) { s.Limiter = l }, b.server(placer.Plain))
+			r.setPlan(planner.New(plan))
+			got := r.call(t, http.MethodPost, "/once/x", "body", http.Header{"Key": {"k"}, "Prompt": {test.prompt}})
+			if got.status != test.status || got.header.Get("Retry-After") != test.after {
+				t.Errorf("answer: got %d, Retry-After %q, want %d, %q", got.status, got.header.Get("Retry-After"), test.status, test.after)
+			}
+			if n := len(b.arrivals()); n != test.sends {
+				t.Errorf("sends: got %d, want %d", n, test.sends)
+			}
+			if l.returned != test.returned {
+				t.Errorf("given back: got %v, want %v", l.returned, test.returned)
+			}
+		})
+	}
+}
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -28,7 +28,8 @@
 	path  *wire.Path
 	// customer is whose request it is, nil if that is not known.
 	customer *wire.Customer
-	guarded  bool // by keys
+	guarded  bool    // by keys
+	cost     float64 // taken from the customer's rate
 	pool     string
 	version  uint64 // of the plan
 	target   string // path and query as the caller sent them
@@ -62,6 +63,9 @@
 	if !f.read() { //nolint:contextcheck // it uses the context of the request
 		return
 	}
+	if !f.admit() {
+		return
+	}
 	ctx, cancel := context.WithCancelCause(r.Context())
 	defer cancel(nil)
 	stop := g.s.Timer.After(f.due.Sub(f.begun), func(time.Time) { cancel(errDue) })
@@ -135,24 +139,6 @@
 	return true
 }
 
-// caller tells the requests of two callers apart that are alike otherwise.
-func (f *flight) caller() string {
-	if f.customer != nil {
-		return f.customer.GetName()
-	}
-
-	return f.hints.Key
-}
-
-// rank is the request's rank, 0 for the most urgent.
-func (f *flight) rank() int32 {
-	if f.customer != nil && f.customer.Rank != nil {
-		return f.customer.GetRank()
-	}
-
-	return f.path.GetRank()
-}
-
 // target returns the path and query as they were sent, or "".
 func target(r *http.Request) string {
 	if strings.HasPrefix(r.RequestURI, "/") {
--- a/internal/gateway/reply.go
+++ b/internal/gateway/reply.go
@@ -99,9 +99,14 @@
 
 // refuse says that the request has not run, and when to come back.
 func (f *flight) refuse(reason string, after time.Duration) {
+	f.refuseWith(http.StatusServiceUnavailable, reason, after)
+}
+
+func (f *flight) refuseWith(status int, reason string, after time.Duration) {
+	f.unadmit()
 	f.w.Header().Set("Retry-After", strconv.FormatFloat(after.Seconds(), 'f', -1, 64))
-	f.say(http.StatusServiceUnavailable, reason)
-	f.finish(reason, http.StatusServiceUnavailable, nil)
+	f.say(status, reason)
+	f.finish(reason, status, nil)
 }
 
 // absent refuses a request because no server can be reached.
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -33,6 +33,8 @@
 	Courier *courier.Courier
 	// Lenders lend the memory of model servers; nil if there are none.
 	Lenders Lenders
+	// Limiter keeps customers within their rates; nil if nothing limits them.
+	Limiter Limiter
 	// Ledger is the record of requests that crash servers; nil if none is kept.
 	Ledger Ledger
 	Timer  timer.Service
@@ -108,6 +110,9 @@
 	if s.Known == nil {
 		s.Known = func() bool { return true }
 	}
+	if s.Limiter == nil {
+		s.Limiter = noLimiter{}
+	}
 	if s.Ledger == nil {
 		s.Ledger = noLedger{}
 	}
--- a/internal/subscriber/settings.go
+++ b/internal/subscriber/settings.go
@@ -62,6 +62,12 @@
 	// Listing takes the host list that a control host passes on, the first message of a
 	// connection or a later one; nil if the process needs none. It must not block.
 	Listing func(first bool, m *wire.Listing)
+	// Usages returns what customers have used here, for the next heartbeat; may be nil. It
+	// must not block.
+	Usages func() []*wire.Usage
+	// Allot takes what this process may admit of customers, and the number of entries; nil
+	// if it serves none. It must not block.
+	Allot func(entries int, allotments []*wire.Allotment)
 	// Log receives one line an event; nil discards them.
 	Log *log.Logger
 	// Beat is the time between heartbeats.
@@ -92,6 +98,12 @@
 	if s.Flights == nil {
 		s.Flights = func() []*wire.Flight { return nil }
 	}
+	if s.Usages == nil {
+		s.Usages = func() []*wire.Usage { return nil }
+	}
+	if s.Allot == nil {
+		s.Allot = func(int, []*wire.Allotment) {}
+	}
 	if s.Leaving == nil {
 		s.Leaving = func() bool { return false }
 	}
--- a/internal/subscriber/subscriber.go
+++ b/internal/subscriber/subscriber.go
@@ -292,7 +292,7 @@
 
 // tick runs at each heartbeat interval.
 func (s *Subscriber) tick(now time.Time) {
-	beat := &wire.Beat{Index: s.View().Index(), Leaving: s.s.Leaving(), Flights: latest(s.s.Flights())}
+	beat := &wire.Beat{Index: s.View().Index(), Leaving: s.s.Leaving(), Flights: latest(s.s.Flights()), Usages: s.s.Usages()}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	l := s.link
@@ -366,6 +366,9 @@
 // up with it. It needs the lock.
 func (s *Subscriber) pulse(l *link, p *wire.Pulse) {
 	s.entries = int(p.GetEntries())
+	if p.GetAllotted() {
+		s.s.Allot(s.entries, p.GetAllotments())
+	}
 	if len(p.GetHosts()) > 0 {
 		s.learn(p.GetHosts())
 	}
