Say why a request is over its customer's rate, and forgive the slack of a lowered one

A line for each such request: customer, cost, what this entry may admit and has left, age of the allotments.

--- a/internal/gateway/customer.go
+++ b/internal/gateway/customer.go
@@ -10,8 +10,8 @@
 
 // Limiter keeps customers within their rates.
 type Limiter interface {
-	// Take admits a request, or returns after which time it may come again.
-	Take(now time.Time, c *wire.Customer, cost float64) (time.Duration, bool)
+	// Take admits a request and returns nil, or says why it is over the rate.
+	Take(now time.Time, c *wire.Customer, cost float64) *limiter.Refusal
 	// Return gives back what a request took that has not run.
 	Return(c *wire.Customer, cost float64)
 }
@@ -20,7 +20,7 @@
 type noLimiter struct{}
 
 // Take implements Limiter.
-func (noLimiter) Take(time.Time, *wire.Customer, float64) (time.Duration, bool) { return 0, true }
+func (noLimiter) Take(time.Time, *wire.Customer, float64) *limiter.Refusal { return nil }
 
 // Return implements Limiter.
 func (noLimiter) Return(*wire.Customer, float64) {}
@@ -50,9 +50,10 @@
 		return true
 	}
 	cost := limiter.Cost(f.customer, f.hints.Prompt+f.hints.Limit)
-	after, ok := f.g.s.Limiter.Take(f.g.s.Timer.Now(), f.customer, cost)
-	if !ok {
-		f.refuseWith(http.StatusTooManyRequests, "the customer is over its rate", after)
+	if r := f.g.s.Limiter.Take(f.g.s.Timer.Now(), f.customer, cost); r != nil {
+		f.g.s.Log.Info().Str("id", f.hints.ID).Str("customer", f.customer.GetName()).Float64("cost", cost).
+			Float64("rate", r.Rate).Float64("level", r.Level).Float64("all", f.customer.GetRate()).Dur("age", r.Age).Msg("over the rate")
+		f.refuseWith(http.StatusTooManyRequests, "the customer is over its rate", r.After)
 
 		return false
 	}
--- a/internal/gateway/customer_test.go
+++ b/internal/gateway/customer_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/damasklever/damasklever/internal/gateway"
+	"github.com/damasklever/damasklever/internal/limiter"
 	"github.com/damasklever/damasklever/internal/placer"
 	"github.com/damasklever/damasklever/internal/planner"
 	"github.com/damasklever/damasklever/internal/wire"
@@ -70,15 +71,15 @@
 	returned float64
 }
 
-func (l *limits) Take(_ time.Time, _ *wire.Customer, cost float64) (time.Duration, bool) {
+func (l *limits) Take(_ time.Time, _ *wire.Customer, cost float64) *limiter.Refusal {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.left < cost {
-		return 1500 * time.Millisecond, false
+		return &limiter.Refusal{After: 1500 * time.Millisecond}
 	}
 	l.left -= cost
 
-	return 0, true
+	return nil
 }
 
 func (l *limits) Return(_ *wire.Customer, cost float64) {
--- a/internal/limiter/allocator.go
+++ b/internal/limiter/allocator.go
@@ -10,8 +10,9 @@
 	// balanceTime is the time in which a customer that has used more or less than its
 	// rate is brought back to it.
 	balanceTime = 2 * time.Second
-	// debtTime bounds what a customer has to make up for.
-	debtTime = 4 * time.Second
+	// debtTime bounds what a customer has to make up for: what it uses until the leader
+	// notices. Beyond that lies the slack of the entries, which is theirs to use.
+	debtTime = 1500 * time.Millisecond
 	// openMargin is how far the demand of a customer must stay below its rate so that
 	// nothing is divided.
 	openMargin = 1.3
--- a/internal/limiter/limiter.go
+++ b/internal/limiter/limiter.go
@@ -72,10 +72,20 @@
 	}
 }
 
-// Take admits a request of a customer, or returns after which time it may come again.
-func (l *Limiter) Take(now time.Time, c *wire.Customer, cost float64) (time.Duration, bool) {
+// Refusal says why a request is over the rate of its customer.
+type Refusal struct {
+	// After is the time after which it may come again.
+	After time.Duration
+	// Rate is what this entry may admit of the customer a second, and Level what is left.
+	Rate, Level float64
+	// Age is that of the allotments.
+	Age time.Duration
+}
+
+// Take admits a request of a customer and returns nil, or says why it is over the rate.
+func (l *Limiter) Take(now time.Time, c *wire.Customer, cost float64) *Refusal {
 	if c.GetRate() <= 0 {
-		return 0, true
+		return nil
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -93,12 +103,12 @@
 	if b.level <= 0 {
 		wait := time.Duration(math.Min(-b.level/max(rate, 1), staleTime.Seconds()) * float64(time.Second))
 
-		return max(wait, leastRetry), false
+		return &Refusal{After: max(wait, leastRetry), Rate: rate, Level: b.level, Age: now.Sub(l.told)}
 	}
 	b.level -= cost
 	b.used += cost
 
-	return 0, true
+	return nil
 }
 
 // Return gives back what a request took that has not run.
--- a/internal/limiter/limiter_test.go
+++ b/internal/limiter/limiter_test.go
@@ -67,7 +67,7 @@
 		for i, l := range w.entries {
 			for range w.poisson(demand * w.weights[i] * step.Seconds() / size) {
 				asked += size
-				if _, ok := l.Take(now, w.customer, size); ok {
+				if l.Take(now, w.customer, size) == nil {
 					admitted += size
 				}
 			}
@@ -201,7 +201,7 @@
 	}
 }
 
-// Guards against a limit that is lowered and not kept.
+// Guards against a limit that is lowered and not kept, or that a customer does not get.
 func TestLoweredRate(t *testing.T) {
 	for seed := range uint64(5) {
 		w := newWorld(seed)
@@ -211,6 +211,9 @@
 		if got, want := w.most(5*time.Second+window), allowed(rate/10); got > want {
 			t.Errorf("seed %d: admitted in a window: got %.0f, want at most %.0f", seed, got, want)
 		}
+		if got, want := w.share(10*time.Second, 25*time.Second)*usual, 0.85*rate/10; got < want {
+			t.Errorf("seed %d: admitted a second: got %.0f, want at least %.0f", seed, got, want)
+		}
 	}
 }
 
@@ -230,7 +233,7 @@
 	}
 	l := limiter.New(0)
 	for range 1000 {
-		if _, ok := l.Take(start, &wire.Customer{Name: "open"}, 1e9); !ok {
+		if l.Take(start, &wire.Customer{Name: "open"}, 1e9) != nil {
 			t.Fatal("customer without a rate: got refused, want admitted")
 		}
 	}
@@ -241,7 +244,7 @@
 	c := &wire.Customer{Name: "c", Rate: 10, Burst: 10}
 	l := limiter.New(30)
 	for range 100 {
-		if _, ok := l.Take(start, c, 1); !ok {
+		if l.Take(start, c, 1) != nil {
 			t.Fatal("after it was given back: got refused, want admitted")
 		}
 		l.Return(c, 1)
@@ -252,7 +255,7 @@
 	for range 10 {
 		l.Take(start, c, 1)
 	}
-	if after, ok := l.Take(start, c, 1); ok || after <= 0 {
-		t.Errorf("over the rate: got %v after %v, want refused and a time", ok, after)
+	if r := l.Take(start, c, 1); r == nil || r.After <= 0 {
+		t.Errorf("over the rate: got %v, want a refusal with a time", r)
 	}
 }
