Ignore numbers of customers' use that cannot be counted

A heartbeat or allotment with a number that is not finite opened a customer for all time: comparisons with it are false, and the leader's account kept it.

--- a/internal/limiter/allocator.go
+++ b/internal/limiter/allocator.go
@@ -1,6 +1,7 @@
 package limiter
 
 import (
+	"math"
 	"time"
 
 	"github.com/damasklever/damasklever/internal/wire"
@@ -21,6 +22,8 @@
 	evenPart = 0.2
 	// leastRate is the part of its rate that a customer gets even while it makes up.
 	leastRate = 0.1
+	// maxAmount bounds what an entry may report: sums of such numbers stay exact enough.
+	maxAmount = 1e15
 )
 
 // entryID is one start of an entry process.
@@ -62,6 +65,9 @@
 	usages := make(map[string]map[entryID]*wire.Usage)
 	for _, r := range reports {
 		for _, u := range r.GetUsages() {
+			if !isAmount(u.GetDemand()) || !isAmount(math.Abs(u.GetUsed())) {
+				continue
+			}
 			if usages[u.GetCustomer()] == nil {
 				usages[u.GetCustomer()] = make(map[entryID]*wire.Usage)
 			}
@@ -86,6 +92,9 @@
 	return out
 }
 
+// isAmount tells a number that can be counted from what a faulty peer may send.
+func isAmount(x float64) bool { return x >= 0 && x <= maxAmount }
+
 // report counts what was used since the last report of each entry. The first one of an
 // entry only says where it stands: it may have reported to another leader before.
 func (a *account) report(now time.Time, c *wire.Customer, usages map[entryID]*wire.Usage) {
--- a/internal/limiter/limiter.go
+++ b/internal/limiter/limiter.go
@@ -125,6 +125,9 @@
 func (l *Limiter) Allot(now time.Time, entries int, allotments []*wire.Allotment) {
 	parts := make(map[string]*wire.Allotment, len(allotments))
 	for _, a := range allotments {
+		if !isAmount(a.GetPart()) {
+			continue
+		}
 		parts[a.GetCustomer()] = a
 	}
 	l.mu.Lock()
--- a/internal/limiter/limiter_test.go
+++ b/internal/limiter/limiter_test.go
@@ -259,3 +259,24 @@
 		t.Errorf("over the rate: got %v, want a refusal with a time", r)
 	}
 }
+
+// Guards against numbers of a faulty peer that open or close a customer for good.
+func TestBadNumbers(t *testing.T) {
+	for name, bad := range map[string]float64{"no number": math.NaN(), "endless": math.Inf(1), "negative": -1, "huge": 1e300} {
+		t.Run(name, func(t *testing.T) {
+			w := newWorld(1)
+			w.run(2*time.Second, 7.5*usual, true)
+			now := start.Add(2 * time.Second)
+			w.reports[0] = &wire.Quota{Entry: "0", Usages: []*wire.Usage{{Customer: "c", Demand: bad, Used: -bad}}}
+			w.allocator.Allocate(now, []*wire.Customer{w.customer}, entryCount, w.reports)
+			w.entries[1].Allot(now, entryCount, []*wire.Allotment{{Customer: "c", Part: bad}})
+			w.run(20*time.Second, 7.5*usual, true)
+			if got, want := w.most(2*time.Second), allowed(rate); got > want {
+				t.Errorf("admitted in a window: got %.0f, want at most %.0f", got, want)
+			}
+			if got, want := w.share(12*time.Second, 22*time.Second)*7.5*usual, 0.85*rate; got < want {
+				t.Errorf("admitted a second: got %.0f, want at least %.0f", got, want)
+			}
+		})
+	}
+}
