Keep ranks of paths and customers within those that lenders know

A path or customer with a negative rank, or one of ten and more, was refused for ever: the agents take ten classes, five of them for late requests. Ranks are told apart up to nine, and from five on they share the last class of the agents. Found by reading for bad input that customers' ranks bring; gateway.TestRankIsKnownToLenders failed before for a negative and a huge rank.

--- a/internal/gateway/customer.go
+++ b/internal/gateway/customer.go
@@ -34,15 +34,23 @@
 	return f.hints.Key
 }
 
+// lowestRank is the last rank that is told apart.
+const lowestRank = 9
+
 // rank is the request's rank, 0 for the most urgent.
 func (f *flight) rank() int32 {
+	rank := f.path.GetRank()
 	if f.customer != nil && f.customer.Rank != nil {
-		return f.customer.GetRank()
+		rank = f.customer.GetRank()
 	}
 
-	return f.path.GetRank()
+	return min(max(rank, 0), lowestRank)
 }
 
+// class is the priority class in which the request asks lenders. They have as many classes
+// again for requests that are late.
+func (f *flight) class() int { return min(int(f.rank()), lateRanks-1) }
+
 // admit takes the request from its customer's rate. It refuses one that is beyond it, and
 // returns false.
 func (f *flight) admit() bool {
--- /dev/null
+++ b/internal/gateway/rank_test.go
@@ -0,0 +1,47 @@
+package gateway_test
+
+import (
+	"context"
+	"net/http"
+	"testing"
+
+	"github.com/damasklever/damasklever/internal/borrower"
+	"github.com/damasklever/damasklever/internal/placer"
+	"github.com/damasklever/damasklever/internal/planner"
+	"github.com/damasklever/damasklever/internal/wire"
+)
+
+// lenderClasses is the number of priority classes that lenders have.
+const lenderClasses = 10
+
+// Guards against a path or customer whose rank no lender knows, so that none of its
+// requests, or none that is late, is ever served.
+func TestRankIsKnownToLenders(t *testing.T) {
+	for name, rank := range map[string]int32{"most urgent": 0, "below the classes": 5, "last": 9, "negative": -1, "huge": 1 << 30} {
+		t.Run(name, func(t *testing.T) {
+			l := &lenders{refuse: func(ctx context.Context, a borrower.Ask) error {
+				if a.Rank < 0 || a.Rank >= lenderClasses {
+					return &borrower.RefusedError{Reason: "invalid"}
+				}
+				if a.Rank < lenderClasses/2 {
+					<-ctx.Done() // it has to come again as a late one
+
+					return context.Cause(ctx)
+				}
+
+				return nil
+			}}
+			b := newBackend(t, "s", answering(http.StatusOK, "id: 1\n\n"))
+			r := newRig(t, l, b.server(placer.Decode))
+			plan := standardPlan()
+			plan.Customers = []*wire.Customer{{Name: "c", Keys: []string{"k"}, Rank: &rank}}
+			for _, path := range plan.GetPaths() {
+				path.Target = 300
+			}
+			r.setPlan(planner.New(plan))
+			if got := r.call(t, http.MethodPost, "/stream/x", "body", http.Header{"Key": {"k"}}); got.status != http.StatusOK {
+				t.Errorf("status: got %d, want 200", got.status)
+			}
+		})
+	}
+}
--- a/internal/gateway/reserve.go
+++ b/internal/gateway/reserve.go
@@ -113,13 +113,13 @@
 	if f.g.s.Lenders == nil {
 		return nil
 	}
-	rank := int(f.rank())
+	class := f.class()
 
 	return f.g.s.Placer.Rank(f.g.s.Timer.Now(), q, stage, need, other, func(id string) (placer.Lent, bool) {
 		l, ok := f.g.s.Lenders.Load(id)
 		out := placer.Lent{Total: l.Total, Free: l.Free, Leaving: l.Leaving}
 		if len(l.Waits) > 0 {
-			out.Wait = l.Waits[min(rank, len(l.Waits)-1)]
+			out.Wait = l.Waits[min(class, len(l.Waits)-1)]
 		}
 
 		return out, ok
@@ -153,7 +153,7 @@
 func (f *flight) borrowDecode(candidates []placer.Candidate, need int) (*borrower.Grant, int, error) {
 	a := borrower.Ask{
 		ID: f.hints.ID, Phase: wire.Phase_PHASE_DECODE, Tokens: need, Cost: f.duration(), Service: f.pool, Caller: "-",
-		Rank: int(f.rank()),
+		Rank: f.class(),
 	}
 	servers := f.askable(candidates, need)
 	target := time.Duration(f.path.GetTarget()) * time.Millisecond
@@ -239,7 +239,7 @@
 	var least time.Duration
 	for _, c := range candidates {
 		l, ok := f.g.s.Lenders.Load(c.Server.ID)
-		rank := min(int(f.rank()), len(l.Waits)-1)
+		rank := min(f.class(), len(l.Waits)-1)
 		if ok && rank >= 0 && (least == 0 || l.Waits[rank] < least) {
 			least = l.Waits[rank]
 		}
