--- a/internal/gateway/witness.go
+++ b/internal/gateway/witness.go
@@ -75,8 +75,8 @@
 	return &witness{g: g, survivors: survivors, broken: make(map[string]map[string]string)}, nil
 }
 
-// broke notes that the connection of a request to a server broke. Its caller is a request
-// in flight.
+// broke notes that the connection of a request to a server broke. It is called while the
+// request is in flight, so the gateway has not ended.
 func (w *witness) broke(f *flight, s *placer.Server) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
