Let a customer use its whole rate at one entry while it stays below it

A customer whose callers all come to one entry got half of its rate, although it asked for less than all of it: the part of an open customer was a half. The windows hold with the whole rate, also with many times the rate at one entry.

--- a/internal/limiter/limiter.go
+++ b/internal/limiter/limiter.go
@@ -23,8 +23,8 @@
 	// which a refused request may come again.
 	staleTime = 3 * time.Second
 	// openPart is the part of its rate that a customer may use at one entry while it asks
-	// for less than its rate at all entries together: callers are spread unevenly.
-	openPart = 0.5
+	// for less than its rate at all entries together: all its callers may be there.
+	openPart = 1
 	// unknownEntries is the number of entries until a control host has told it.
 	unknownEntries = 30
 	// leastRetry is the least time after which a request may come again.
--- a/internal/limiter/limiter_test.go
+++ b/internal/limiter/limiter_test.go
@@ -58,6 +58,12 @@
 	return w
 }
 
+// gather moves all callers to one entry.
+func (w *world) gather() {
+	clear(w.weights)
+	w.weights[0] = 1
+}
+
 // run plays a time at a demand in tokens a second. Without control nothing is reported or
 // told.
 func (w *world) run(length time.Duration, demand float64, control bool) {
@@ -155,6 +161,18 @@
 				t.Errorf("admitted part: got %.3f, want at least %.2f", got, want)
 			}
 		},
+		"within its rate, all at one entry": func(t *testing.T, w *world) {
+			w.gather()
+			w.run(20*time.Second, 0.9*rate, true)
+			if got, want := w.share(0, 20*time.Second), 0.97; got < want {
+				t.Errorf("admitted part: got %.3f, want at least %.2f", got, want)
+			}
+		},
+		"many times its rate, all at one entry": func(_ *testing.T, w *world) {
+			w.gather()
+			w.run(5*time.Second, usual, true)
+			w.run(12*time.Second, 7.5*usual, true)
+		},
 		"within its rate while control is lost": func(t *testing.T, w *world) {
 			w.run(5*time.Second, usual, true)
 			w.run(8*time.Second, usual, false)
