--- a/internal/gateway/customer_test.go
+++ b/internal/gateway/customer_test.go
@@ -1,11 +1,15 @@
 package gateway_test
 
 import (
+	"context"
+	"io"
+	"net"
 	"net/http"
 	"sync"
 	"testing"
 	"time"
 
+	"github.com/damasklever/damasklever/internal/borrower"
 	"github.com/damasklever/damasklever/internal/gateway"
 	"github.com/damasklever/damasklever/internal/limiter"
 	"github.com/damasklever/damasklever/internal/placer"
@@ -128,3 +132,37 @@
 		})
 	}
 }
+
+// Guards against rate that is used up by a caller that leaves while its request waits for
+// memory, and has reached no server.
+func TestRateOfCallerThatLeaves(t *testing.T) {
+	plan := standardPlan()
+	plan.Customers = []*wire.Customer{{Name: "c", Keys: []string{"k"}, Rate: 1, Unit: wire.Unit_UNIT_TOKENS}}
+	waiting := make(chan struct{}, 1)
+	full := &lenders{refuse: func(ctx context.Context, _ borrower.Ask) error {
+		waiting <- struct{}{}
+		<-ctx.Done()
+
+		return context.Cause(ctx)
+	}}
+	l := &limits{left: 1000}
+	b := newBackend(t, "s", answering(http.StatusOK, "id: 1\n\n"))
+	r := newRigWith(t, func(s *gateway.Settings) { s.Limiter, s.Lenders = l, full }, b.server(placer.Decode))
+	r.setPlan(planner.New(plan))
+	conn, err := (&net.Dialer{}).DialContext(t.Context(), "tcp", r.gateway.Addr())
+	if err != nil {
+		t.Fatal(err)
+	}
+	io.WriteString(conn, "POST /stream/x HTTP/1.1\r\nHost: h\r\nId: r1\r\nKey: k\r\nPrompt: 900\r\nContent-Length: 0\r\n\r\n")
+	<-waiting
+	conn.Close()
+	limit := time.Now().Add(patience)
+	for time.Now().Before(limit) && r.gateway.Active() > 0 {
+		time.Sleep(time.Millisecond)
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.returned != 900 {
+		t.Errorf("given back: got %v, want 900", l.returned)
+	}
+}
--- a/internal/gateway/reply.go
+++ b/internal/gateway/reply.go
@@ -142,6 +142,9 @@
 
 // gone ends a request whose caller has left.
 func (f *flight) gone() {
+	if len(f.met) == 0 {
+		f.unadmit()
+	}
 	f.finish("caller left", 0, nil)
 	panic(http.ErrAbortHandler)
 }
