Tell callers apart by their address where they have no key

Of two callers with the same request, one of which crashes servers, the sound one's good runs cleared the other, and the block of the other hit the sound one.

--- a/internal/gateway/customer.go
+++ b/internal/gateway/customer.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"net"
 	"net/http"
 	"time"
 
@@ -25,13 +26,17 @@
 // Return implements Limiter.
 func (noLimiter) Return(*wire.Customer, float64) {}
 
-// caller tells the requests of two callers apart that are alike otherwise.
+// caller tells the requests of two callers apart that are alike otherwise: by their
+// customer, or else by their key or the host that they connect from.
 func (f *flight) caller() string {
-	if f.customer != nil {
+	switch host, _, err := net.SplitHostPort(f.r.RemoteAddr); {
+	case f.customer != nil:
 		return f.customer.GetName()
+	case f.hints.Key != "" || err != nil:
+		return f.hints.Key
+	default:
+		return host
 	}
-
-	return f.hints.Key
 }
 
 // lowestRank is the last rank that is told apart.
--- a/internal/gateway/witness_test.go
+++ b/internal/gateway/witness_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"slices"
 	"sync"
@@ -207,3 +208,33 @@
 		}
 	}
 }
+
+// Guards against a caller whose sound request is taken for that of another caller, which
+// crashes servers.
+func TestCallersAreToldApart(t *testing.T) {
+	l := &ledger{}
+	var servers []placer.Server
+	for _, id := range []string{"a", "b"} {
+		servers = append(servers, crashing(t, id).server(placer.Plain))
+	}
+	r := ledgerRig(t, l, nil, servers...)
+	for _, address := range []string{"127.0.0.1", "127.0.0.2"} {
+		dialer := &net.Dialer{LocalAddr: &net.TCPAddr{IP: net.ParseIP(address)}}
+		conn, err := dialer.DialContext(t.Context(), "tcp", r.gateway.Addr())
+		if err != nil {
+			t.Fatal(err)
+		}
+		exchange(t, conn, http.MethodPost, "/once/x", "poison", nil)
+		conn.Close()
+	}
+	limit := time.Now().Add(patience)
+	for time.Now().Before(limit) {
+		if servers, _ := l.blamed(); len(servers) == 2 {
+			break
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	if _, digests := l.blamed(); len(digests) != 2 || digests[0] == digests[1] {
+		t.Errorf("digests: got %v, want two different ones", digests)
+	}
+}
