--- a/internal/gateway/witness.go
+++ b/internal/gateway/witness.go
@@ -35,8 +35,9 @@
 	// gatherTime is how long the requests whose connections to one server break are taken
 	// together: those of one crash break at the same moment.
 	gatherTime = 100 * time.Millisecond
-	// maxGathered bounds the requests of one crash.
-	maxGathered = 256
+	// maxGathered bounds the requests of one crash: about as many as run on a server. The
+	// control hosts keep them for thousands of crashes.
+	maxGathered = 64
 	// reportTime bounds the report of a crash; a control group that has lost its leader
 	// has another one sooner.
 	reportTime = 30 * time.Second
