--- a/internal/controller/census.go
+++ b/internal/controller/census.go
@@ -30,7 +30,20 @@
 	sum := c.attachments.count(q, c.s.Number)
 	var members *wire.Members
 	c.do(func() { members = c.members })
-	counts := make(chan *wire.Count)
+	for _, r := range c.askOthers(ctx, members, censusTimeout, &wire.Request{Body: &wire.Request_Census{Census: q}}) {
+		n := r.GetCount()
+		sum.Force += n.GetForce()
+		sum.Known += n.GetKnown()
+		sum.Entries = append(sum.Entries, n.GetEntries()...)
+	}
+
+	return sum
+}
+
+// askOthers sends a request to all other control hosts at the same time and returns the
+// responses. Hosts that do not answer in time are left out.
+func (c *Controller) askOthers(ctx context.Context, members *wire.Members, wait time.Duration, r *wire.Request) []*wire.Response {
+	answers := make(chan *wire.Response)
 	others := 0
 	for _, m := range slices.Concat(members.GetVoters(), members.GetLearners()) {
 		if m.GetId() == c.me.GetId() {
@@ -38,25 +51,23 @@
 		}
 		others++
 		go func() {
-			bounded, cancel := c.within(ctx, censusTimeout)
+			bounded, cancel := c.within(ctx, wait)
 			defer cancel()
-			r, err := c.links.call(bounded, m.GetAddr(), &wire.Request{Body: &wire.Request_Census{Census: q}})
+			response, err := c.links.call(bounded, m.GetAddr(), r)
 			if err != nil {
-				counts <- nil
-
-				return
+				c.s.Log.Debug().Str("addr", m.GetAddr()).Err(err).Msg("no answer of a control host")
 			}
-			counts <- r.GetCount()
+			answers <- response
 		}()
 	}
+	var out []*wire.Response
 	for range others {
-		n := <-counts
-		sum.Force += n.GetForce()
-		sum.Known += n.GetKnown()
-		sum.Entries = append(sum.Entries, n.GetEntries()...)
+		if response := <-answers; response != nil {
+			out = append(out, response)
+		}
 	}
 
-	return sum
+	return out
 }
 
 // startCensus runs in the event loop. The leader looks which entry processes
--- a/internal/controller/quotas.go
+++ b/internal/controller/quotas.go
@@ -105,28 +105,9 @@
 func (c *Controller) exchangeQuotas(ctx context.Context, members *wire.Members, allotted []*wire.Quota) []*wire.Quota {
 	out := &wire.Quotas{Quotas: allotted}
 	own := c.quotas.exchange(c.s.Timer.Now(), c.attachments, out)
-	answers := make(chan *wire.Quotas)
-	others := 0
-	for _, m := range slices.Concat(members.GetVoters(), members.GetLearners()) {
-		if m.GetId() == c.me.GetId() {
-			continue
-		}
-		others++
-		go func() {
-			bounded, cancel := c.within(ctx, quotaTimeout)
-			defer cancel()
-			r, err := c.links.call(bounded, m.GetAddr(), &wire.Request{Body: &wire.Request_Quotas{Quotas: out}})
-			if err != nil {
-				answers <- nil
-
-				return
-			}
-			answers <- r.GetQuotas()
-		}()
-	}
 	reports := own.GetQuotas()
-	for range others {
-		reports = append(reports, (<-answers).GetQuotas()...)
+	for _, r := range c.askOthers(ctx, members, quotaTimeout, &wire.Request{Body: &wire.Request_Quotas{Quotas: out}}) {
+		reports = append(reports, r.GetQuotas().GetQuotas()...)
 	}
 
 	return latestQuotas(reports)
