--- /dev/null
+++ b/internal/borrower/fuzz_test.go
@@ -0,0 +1,78 @@
+package borrower_test
+
+import (
+	"context"
+	"testing"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/damasklever/damasklever/internal/lender"
+	"github.com/damasklever/damasklever/internal/messenger"
+	"github.com/damasklever/damasklever/internal/timer"
+	"github.com/damasklever/damasklever/internal/wire"
+)
+
+// FuzzLender guards against a malformed message of an entry that takes an agent down.
+func FuzzLender(f *testing.F) {
+	for _, m := range []*wire.Call{
+		{},
+		{Body: &wire.Call_Ask{}},
+		{Body: &wire.Call_Ask{Ask: &wire.Ask{Id: "a", Rank: -1, Pieces: 1}}},
+		{Body: &wire.Call_Ask{Ask: &wire.Ask{Id: "a", Rank: 1 << 30, Pieces: 1 << 62, Due: 1 << 62, Cost: -1}}},
+		{Body: &wire.Call_Ask{Ask: &wire.Ask{Id: "a", Phase: 99, Pieces: -1, Due: -1 << 62}}},
+		{Body: &wire.Call_Withdraw{}},
+		{Body: &wire.Call_Release{Release: &wire.Release{Broken: true}}},
+	} {
+		data, err := proto.Marshal(m)
+		if err != nil {
+			f.Fatal(err)
+		}
+		f.Add(data)
+	}
+	clock := timer.New()
+	f.Cleanup(clock.Close)
+	g := &gauge{report: lender.Report{Phase: lender.Decode, Total: 1600, Born: 1}}
+	l, err := lender.New(lender.Settings{Listen: "127.0.0.1:0", Server: "s", Gauge: g, Timer: clock})
+	if err != nil {
+		f.Fatal(err)
+	}
+	if err := l.Start(); err != nil {
+		f.Fatal(err)
+	}
+	f.Cleanup(l.Close)
+	session, err := messenger.Dial(context.Background(), l.Addr())
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Cleanup(func() { session.Close() })
+	join := func(t *testing.T, name string) *messenger.Stream {
+		t.Helper()
+		s, err := session.Open(t.Context())
+		if err != nil {
+			t.Fatalf("the agent takes no entry any more: %v", err)
+		}
+		if err := s.Send(&wire.Call{Body: &wire.Call_Hello{Hello: &wire.Hello{Entry: name}}}); err != nil {
+			t.Fatal(err)
+		}
+		reply := &wire.Reply{}
+		if err := s.Recv(reply); err != nil || reply.GetWelcome() == nil {
+			t.Fatalf("first reply: got %v (%v), want a welcome", reply, err)
+		}
+
+		return s
+	}
+	f.Fuzz(func(t *testing.T, data []byte) {
+		call := &wire.Call{}
+		if proto.Unmarshal(data, call) != nil {
+			return // messenger.FuzzReceive has these
+		}
+		faulty := join(t, "faulty")
+		for range 2 {
+			if faulty.Send(call) != nil {
+				break
+			}
+		}
+		faulty.Close()
+		join(t, "sound").Close()
+	})
+}
