--- a/internal/listener/input_test.go
+++ b/internal/listener/input_test.go
@@ -228,6 +228,41 @@
 }
 
 // Guards against a body that makes the decoder panic, or that is accepted
+// Guards against a faulty caller that keeps its connection, and a file descriptor with it,
+// although it has its answer.
+func TestFaultyConnectionIsClosed(t *testing.T) {
+	for name, goesOn := range map[string]bool{"silent afterwards": false, "goes on": true} {
+		t.Run(name, func(t *testing.T) {
+			l, _ := start(t, echo(), listener.Settings{})
+			conn, r := wireup(t, l)
+			if _, err := io.WriteString(conn, "not HTTP\r\n\r\n"); err != nil {
+				t.Fatal(err)
+			}
+			receive(t, r)
+			answered := time.Now()
+			stop := make(chan struct{})
+			defer close(stop)
+			if goesOn {
+				go func() {
+					for {
+						select {
+						case <-stop:
+							return
+						case <-time.After(10 * time.Millisecond):
+							io.WriteString(conn, "x")
+						}
+					}
+				}()
+			}
+			// It ends with EOF or a reset.
+			_, _ = io.Copy(io.Discard, r)
+			if got, want := time.Since(answered), time.Second; got > want {
+				t.Errorf("open after the answer: got %s, want at most %s", got, want)
+			}
+		})
+	}
+}
+
 // without a model and a prompt.
 func FuzzCompletion(f *testing.F) {
 	f.Add(hello, false)
--- a/internal/listener/peer.go
+++ b/internal/listener/peer.go
@@ -14,7 +14,7 @@
 // lingerTime is how long input is read and dropped after the last response on
 // a connection. Closing at once would reset the connection while the caller
 // still sends, and could destroy the response on its way.
-const lingerTime = 2 * time.Second
+const lingerTime = 700 * time.Millisecond
 
 // peer is one connection of a caller. Its requests run one after the other, so
 // that responses to pipelined requests keep their order.
