Clear a popular request of all crashes of one outage, not of the first alone

A request that runs well all the time is at many crashes when several servers go down at once: it was cleared of the first and blamed for the others, so that three servers lost together could block it for an hour.

--- a/internal/gateway/witness.go
+++ b/internal/gateway/witness.go
@@ -115,7 +115,7 @@
 
 		return
 	}
-	suspects := w.survivors.Suspects(all)
+	suspects := w.survivors.Suspects(w.g.s.Timer.Now(), all)
 	entry.Strs("suspects", suspects).Err(err).Msg("server crashed under requests")
 	if len(suspects) == 0 {
 		return
