gateway: name the digest of a request whose send was not answered

Callers saw: a request that ends servers is sent on. The log could not tell whether its crashes went unrecognised or were not counted: a send that ends in silence left the id of one attempt only.

Change: the line of a send that was not answered has the digest, which all attempts of a request share. No decision changes.

--- a/internal/gateway/response.go
+++ b/internal/gateway/response.go
@@ -157,6 +157,9 @@
 	if c.Prefill != nil {
 		entry = entry.Str("prefill", c.Prefill.ID)
 	}
+	if o != outcomeAnswered {
+		entry = entry.Str("digest", f.digest)
+	}
 	if err != nil && o != outcomeCallerGone {
 		entry = entry.Err(err)
 	}
