--- /dev/null
+++ b/internal/gateway/server_end_test.go
@@ -0,0 +1,227 @@
+package gateway_test
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/damasklever/damasklever/internal/gateway"
+	"github.com/damasklever/damasklever/internal/placer"
+)
+
+// serverEnd is what happens to a server under a request.
+type serverEnd string
+
+const (
+	endsSilently    serverEnd = "falls silent"
+	endsForGood     serverEnd = "is lost for good"
+	endsReplaced    serverEnd = "is replaced under a new id at once"
+	endsRestarted   serverEnd = "is back at once under its id"
+	onlyBreaks      serverEnd = "only breaks the connection"
+	onlyTakesLong   serverEnd = "only takes long"
+	statusPath                = "/status"
+	poisonBody                = "poison"
+	answerWithin              = 1500 // milliseconds that the callers wait
+	reportTolerance           = 500 * time.Millisecond
+)
+
+// endingServer is a backend that ends in some way when it runs the body "poison". It
+// answers other bodies.
+type endingServer struct {
+	*backend
+	end serverEnd
+
+	mu      sync.Mutex
+	ended   bool
+	started time.Time
+	runs    int
+}
+
+func newEndingServer(t *testing.T, id string, end serverEnd) *endingServer {
+	t.Helper()
+	s := &endingServer{end: end, started: time.Now().Add(-time.Hour)}
+	s.backend = newBackend(t, id, s.serve)
+
+	return s
+}
+
+// crash ends the server and returns whether its connections break.
+func (s *endingServer) crash() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.runs++
+	s.ended = true
+	switch s.end {
+	case endsForGood:
+		s.Listener.Close()
+	case endsRestarted:
+		s.started = time.Now()
+	case endsSilently, onlyTakesLong:
+		return false
+	case endsReplaced, onlyBreaks:
+	}
+
+	return true
+}
+
+func (s *endingServer) state() (ended bool, started time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+
+	return s.ended, s.started
+}
+
+func (s *endingServer) serve(w http.ResponseWriter, r *http.Request) {
+	ended, started := s.state()
+	switch body, _ := io.ReadAll(r.Body); {
+	case ended && s.end == endsSilently:
+		<-r.Context().Done()
+	case ended && s.end == endsReplaced:
+		w.Header().Set("Refused", "1")
+		w.WriteHeader(http.StatusMisdirectedRequest)
+	case r.URL.Path == statusPath:
+		io.WriteString(w, strconv.FormatInt(started.UnixMilli(), 10))
+	case string(body) == poisonBody:
+		if s.crash() {
+			breakConnection(w, r)
+		} else {
+			<-r.Context().Done()
+		}
+	default:
+		io.WriteString(w, "id: 1\n\n")
+	}
+}
+
+// Guards against a server's end that is not counted against the request that it was running.
+func TestServerEndIsCounted(t *testing.T) {
+	calls := map[string]struct {
+		path   string
+		stage  placer.Stage
+		prompt int
+	}{
+		"unsafe":           {"/once/x", placer.Plain, 0},
+		"safe":             {"/read/x", placer.Plain, 0},
+		"stream":           {"/stream/x", placer.Decode, 0},
+		"resumable stream": {"/resume/x", placer.Decode, 0},
+		"prefill":          {"/stream/x", placer.Prefill, 10_000},
+	}
+	for end, want := range map[serverEnd]int{
+		endsSilently: 1, endsForGood: 1, endsReplaced: 1, endsRestarted: 1, onlyBreaks: 0, onlyTakesLong: 0,
+	} {
+		for name, call := range calls {
+			t.Run(string(end)+"/"+name, func(t *testing.T) {
+				t.Parallel()
+				l := &fakeLedger{}
+				servers := []placer.Server{newEndingServer(t, "ending", end).server(call.stage)}
+				if call.stage == placer.Prefill {
+					decode := newBackend(t, "decode", func(w http.ResponseWriter, _ *http.Request) { io.WriteString(w, "id: 1\n\n") })
+					servers = append(servers, decode.server(placer.Decode))
+				}
+				r := newCrashTestGateway(t, l, nil, servers...)
+				r.call(t, http.MethodPost, call.path, poisonBody, http.Header{
+					"Wait": {strconv.Itoa(answerWithin)}, "Prompt": {strconv.Itoa(call.prompt)},
+				})
+				checkReports(t, l, "ending", want)
+			})
+		}
+	}
+}
+
+// checkReports checks that a server's crash was reported a number of times with one digest.
+func checkReports(t *testing.T, l *fakeLedger, server string, want int) {
+	t.Helper()
+	l.await(4*time.Second, max(want, 1))
+	servers, digests := l.await(reportTolerance, want+1)
+	if len(servers) != want || len(digests) != want || slices.ContainsFunc(servers, func(s string) bool { return s != server }) {
+		t.Errorf("reports: got %v of %v, want %d of %s", digests, servers, want, server)
+	}
+}
+
+// Guards against a server's end that is not counted because the caller had left before.
+func TestServerEndIsCountedAfterCallerLeft(t *testing.T) {
+	for name, test := range map[string]struct {
+		end  serverEnd
+		want int
+	}{
+		"silent server": {endsSilently, 1},
+		"slow server":   {onlyTakesLong, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			l := &fakeLedger{}
+			r := newCrashTestGateway(t, l, nil, newEndingServer(t, "ending", test.end).server(placer.Plain))
+			conn, err := net.Dial("tcp", r.gateway.Addr())
+			if err != nil {
+				t.Fatal(err)
+			}
+			io.WriteString(conn, "POST /once/x HTTP/1.1\r\nHost: h\r\nId: r1\r\nContent-Length: 6\r\n\r\n"+poisonBody)
+			leave := time.NewTimer(200 * time.Millisecond)
+			defer leave.Stop()
+			<-leave.C
+			conn.Close()
+			checkReports(t, l, "ending", test.want)
+		})
+	}
+}
+
+// Guards against a server's end that is not counted because it broke off in the middle of an
+// answer that is too long to buffer.
+func TestServerEndInLongAnswerIsCounted(t *testing.T) {
+	l := &fakeLedger{}
+	b := newBackend(t, "ending", nil)
+	b.handler = func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Length", strconv.Itoa(4<<20))
+		io.WriteString(w, strings.Repeat("x", 1<<20))
+		http.NewResponseController(w).Flush()
+		b.Listener.Close()
+		panic(http.ErrAbortHandler)
+	}
+	r := newCrashTestGateway(t, l, nil, b.server(placer.Plain))
+	r.call(t, http.MethodPost, "/read/x", poisonBody, nil)
+	checkReports(t, l, "ending", 1)
+}
+
+// Blame of a ledger without control hosts must not keep the gateway from closing.
+func TestCloseWithoutLedger(t *testing.T) {
+	l := &stuckLedger{entered: make(chan struct{})}
+	s := newEndingServer(t, "ending", endsForGood)
+	r := newTestGatewayWith(t, func(x *gateway.Settings) { x.CrashLedger = l }, s.server(placer.Plain))
+	r.call(t, http.MethodPost, "/once/x", poisonBody, nil)
+	<-l.entered
+	closed := make(chan struct{})
+	go func() {
+		r.gateway.Close()
+		close(closed)
+	}()
+	limit := time.NewTimer(testTimeout)
+	defer limit.Stop()
+	select {
+	case <-closed:
+	case <-limit.C:
+		t.Fatalf("close: got none within %v, want one", testTimeout)
+	}
+}
+
+// stuckLedger is a CrashLedger whose reports are not stored.
+type stuckLedger struct {
+	once    sync.Once
+	entered chan struct{}
+}
+
+// Blocked implements gateway.CrashLedger.
+func (*stuckLedger) Blocked(time.Time, string) time.Time { return time.Time{} }
+
+// Blame implements gateway.CrashLedger.
+func (l *stuckLedger) Blame(ctx context.Context, _ string, _ []string) error {
+	l.once.Do(func() { close(l.entered) })
+	<-ctx.Done()
+
+	return ctx.Err()
+}
