gateway: count the end of a server whatever it looks like

Cause: an entry recognised one way to end, a connection that breaks and a port that is closed 0.1 s later, and looked for it at some of its sends only. A server that falls silent breaks no connection: its requests end at their deadline, or their callers leave, and nothing was recorded. One that is back at once, or replaced, passes for a broken connection. Prefills that time out and long answers that break off took no part, and a prefill's crash was forgiven when the decode server answered. Class of fault: a promise kept for the one form of a failure that its test has, at each of several call sites instead of one.

Change: each send is followed from one place to the end of its answer (correlator.Tracker). A server that broke a connection, or has work and has sent nothing for 1 s, is asked for its status with its id, on a new connection and without a slot. A closed port, another id, a start after the send, or two checks without an answer are a crash. What a request completed after a crash no longer forgives it.

Why it works: the check asks who answers, and since when, instead of whether somebody listens; and silence is a reason to ask.

--- a/internal/correlator/successes.go
+++ b/internal/correlator/successes.go
@@ -24,14 +24,13 @@
 // at many crashes, but completes in between. It is safe for concurrent use.
 type RecentSuccesses struct {
 	mu sync.Mutex
-	// digests holds for each digest the time of the first crash since it last
-	// completed, or the zero time if there was none.
-	digests *lru.Cache[string, time.Time]
+	// digests holds what is known of each digest since its last crash.
+	digests *lru.Cache[string, success]
 }
 
 // NewRecentSuccesses returns an empty RecentSuccesses.
 func NewRecentSuccesses() (*RecentSuccesses, error) {
-	digests, err := lru.New[string, time.Time](maxSuccesses)
+	digests, err := lru.New[string, success](maxSuccesses)
 	if err != nil {
 		return nil, errors.Newf("create cache of completed requests: %w", err)
 	}
@@ -39,26 +38,41 @@
 	return &RecentSuccesses{digests: digests}, nil
 }
 
+// success is the first completion of a digest since its last crash.
+type success struct {
+	at    time.Time
+	crash time.Time // first crash after it, zero if there was none
+}
+
 // RecordSuccess records that a request completed.
-func (s *RecentSuccesses) RecordSuccess(digest string) {
+func (s *RecentSuccesses) RecordSuccess(now time.Time, digest string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.digests.Add(digest, time.Time{})
+	if old, ok := s.digests.Get(digest); ok && old.crash.IsZero() {
+		return
+	}
+	s.digests.Add(digest, success{at: now})
 }
 
-// Suspects returns those digests in flight at a crash that may have caused it: all
-// that have not completed since an earlier outage. Crashes within outageWindow count as
+// Suspects returns the digests of those requests lost in a crash that may have caused it:
+// all that had not completed since an earlier outage. Crashes within outageWindow count as
 // one outage.
-func (s *RecentSuccesses) Suspects(now time.Time, digests []string) []string {
+func (s *RecentSuccesses) Suspects(now time.Time, lost []Lost) []string {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-
-	return slices.DeleteFunc(slices.Clone(digests), func(d string) bool {
-		crash, completed := s.digests.Get(d)
-		if completed && crash.IsZero() {
-			s.digests.Add(d, now)
+	var out []string
+	for _, l := range lost {
+		last, completed := s.digests.Get(l.Digest)
+		completed = completed && !last.at.After(l.At)
+		if completed && last.crash.IsZero() {
+			last.crash = now
+			s.digests.Add(l.Digest, last)
+		}
+		if !completed || now.Sub(last.crash) >= outageWindow {
+			out = append(out, l.Digest)
 		}
+	}
+	slices.Sort(out)
 
-		return completed && (crash.IsZero() || now.Sub(crash) < outageWindow)
-	})
+	return slices.Compact(out)
 }
--- a/internal/gateway/crash_reporter.go
+++ b/internal/gateway/crash_reporter.go
@@ -2,15 +2,15 @@
 
 import (
 	"context"
-	"maps"
-	"slices"
+	"io"
+	"net"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
 
 	"github.com/damasklever/damasklever/internal/correlator"
-	"github.com/damasklever/damasklever/internal/placer"
 	"github.com/damasklever/damasklever/internal/requester"
 )
 
@@ -32,9 +32,11 @@
 func (noCrashLedger) Blame(context.Context, string, []string) error { return nil }
 
 const (
-	// gatherWindow is the time in which connections that break to one server are attributed
-	// to the same crash: all connections of a server that crashes break at the same moment.
-	gatherWindow = 100 * time.Millisecond
+	// crashPollInterval is the interval at which servers in doubt are looked for.
+	crashPollInterval = 50 * time.Millisecond
+	// statusTimeout limits a status request. It allows for two round trips between regions
+	// and a busy server.
+	statusTimeout = 500 * time.Millisecond
 	// maxSuspects limits the requests that are reported for one crash to about as many as
 	// run on a server, because the control hosts keep them for thousands of crashes.
 	maxSuspects = 64
@@ -57,15 +59,16 @@
 	return until.Sub(now)
 }
 
-// crashReporter records which requests were running at a server when their connections to it
-// broke, finds out whether the server has crashed, and reports the requests that may have
-// caused the crash.
+// crashReporter finds out which servers have crashed, and reports the requests that may have
+// caused it.
 type crashReporter struct {
 	g               *Gateway
+	tracker         *correlator.Tracker
 	recentSuccesses *correlator.RecentSuccesses
+	stopTimer       func()
 
 	mu     sync.Mutex
-	broken map[string]map[string]string // request ids by digest, by server
+	closed bool
 }
 
 func newCrashReporter(g *Gateway) (*crashReporter, error) {
@@ -74,51 +77,58 @@
 		return nil, errors.Newf("crash reporter: %w", err)
 	}
 
-	return &crashReporter{g: g, recentSuccesses: recentSuccesses, broken: make(map[string]map[string]string)}, nil
+	return &crashReporter{g: g, tracker: correlator.NewTracker(), recentSuccesses: recentSuccesses, stopTimer: func() {}}, nil
 }
 
-// noteBroken records that the connection of a request to a server broke. It is called while
-// the request is in flight, so the gateway has not ended.
-func (c *crashReporter) noteBroken(f *forwarder, s *placer.Server) {
+func (c *crashReporter) start() {
+	c.stopTimer = c.g.s.Timer.Every(crashPollInterval, c.checkServers)
+}
+
+// close stops starting checks.
+func (c *crashReporter) close() {
+	c.stopTimer()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.closed = true
+}
+
+// checkServers starts to check the servers in doubt.
+func (c *crashReporter) checkServers(now time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	digests := c.broken[s.ID]
-	if digests == nil {
-		digests = make(map[string]string)
-		c.broken[s.ID] = digests
+	if c.closed {
+		return
+	}
+	for _, s := range c.tracker.Due(now) {
 		c.g.tasks.Add(1)
 		go func() {
 			defer c.g.tasks.Done()
 			c.checkServer(c.g.ctx, s)
 		}()
 	}
-	if len(digests) < maxSuspects {
-		digests[f.digest] = f.hints.ID
-	}
 }
 
-// checkServer collects the requests whose connections to a server broke, and finds out
-// whether it has crashed.
-func (c *crashReporter) checkServer(ctx context.Context, s *placer.Server) {
-	c.waitForOthers(ctx)
-	c.mu.Lock()
-	digests := c.broken[s.ID]
-	delete(c.broken, s.ID)
-	c.mu.Unlock()
+// checkServer finds out whether a server has crashed, and reports the requests that were
+// there.
+func (c *crashReporter) checkServer(ctx context.Context, s correlator.Server) {
+	state, status, err := c.requestStatus(ctx, s)
 	if ctx.Err() != nil {
 		return
 	}
-	all := slices.Sorted(maps.Keys(digests))
-	entry := c.g.s.Log.Warn().Str("server", s.ID).Str("addr", s.Addr).Strs("digests", all).
-		Strs("ids", slices.Sorted(maps.Values(digests)))
-	err := c.g.s.Requester.Probe(ctx, s.Addr)
-	if err == nil {
-		entry.Msg("connections broke, but the server is reachable")
+	now := c.g.s.Timer.Now()
+	lost := c.tracker.Resolve(now, s.ID, state, status.StartedAt)
+	if len(lost) == 0 {
+		c.g.s.Log.Info().Str("server", s.ID).Str("addr", s.Addr).Bool("silent", state == correlator.Silent).Err(err).Msg("server checked")
 
 		return
 	}
-	suspects := c.recentSuccesses.Suspects(c.g.s.Timer.Now(), all)
-	entry.Strs("suspects", suspects).Err(err).Msg("server crashed while running requests")
+	digests, ids := make([]string, 0, len(lost)), make([]string, 0, len(lost))
+	for _, l := range lost {
+		digests, ids = append(digests, l.Digest), append(ids, l.ID)
+	}
+	suspects := c.recentSuccesses.Suspects(now, lost[:min(len(lost), maxSuspects)])
+	c.g.s.Log.Warn().Str("server", s.ID).Str("addr", s.Addr).Strs("digests", digests).Strs("ids", ids).Strs("suspects", suspects).
+		Bool("replaced", status.Replaced).Bool("silent", state == correlator.Silent).Err(err).Msg("server crashed while running requests")
 	if len(suspects) == 0 {
 		return
 	}
@@ -129,11 +139,84 @@
 	}
 }
 
-func (c *crashReporter) waitForOthers(ctx context.Context) {
-	woken := make(chan struct{})
-	defer c.g.s.Timer.After(gatherWindow, func(time.Time) { close(woken) })()
-	select {
-	case <-woken:
-	case <-ctx.Done():
+// requestStatus asks a server for its status. An error is what the state was concluded from.
+func (c *crashReporter) requestStatus(ctx context.Context, s correlator.Server) (correlator.State, ServerStatus, error) {
+	ctx, cancel := context.WithTimeout(ctx, statusTimeout)
+	defer cancel()
+	r := c.g.s.Dialect.StatusRequest(s.ID, s.Addr)
+	r.NewConn = true
+	response, err := c.g.s.Requester.Do(ctx, s.Addr, r)
+	if err != nil {
+		return stateOf(err), ServerStatus{}, errors.Newf("request status of %s: %w", s.ID, err)
+	}
+	defer func() { _ = response.Body.Close() }()
+	body, err := readBody(response)
+	if err != nil {
+		return stateOf(err), ServerStatus{}, errors.Newf("read status of %s: %w", s.ID, err)
+	}
+	status, err := c.g.s.Dialect.ParseStatus(response.Status, body)
+	if status.Replaced {
+		return correlator.Gone, status, nil
+	}
+
+	return correlator.Running, status, err //nolint:wrapcheck // logged, and names the status
+}
+
+// stateOf returns what the error of a status request says about its server. A server that
+// accepts connections and breaks them still runs.
+func stateOf(err error) correlator.State {
+	var timeout net.Error
+	switch {
+	case errors.Is(err, syscall.ECONNREFUSED):
+		return correlator.Gone
+	case errors.Is(err, requester.ErrNotSent), errors.Is(err, context.DeadlineExceeded), errors.As(err, &timeout) && timeout.Timeout():
+		return correlator.Silent
+	default:
+		return correlator.Running
+	}
+}
+
+// trackedBody is the body of a response. It tells the tracker when the server sends
+// something and how the answer ends.
+type trackedBody struct {
+	io.ReadCloser
+	c    *crashReporter
+	ctx  context.Context //nolint:containedctx // of the request
+	send *correlator.Send
+}
+
+// Read implements io.Reader.
+func (b *trackedBody) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	now := b.c.g.s.Timer.Now()
+	switch {
+	case err == nil:
+		b.send.Heard(now)
+	case isEOF(err):
+		b.c.tracker.Answered(now, b.send)
+	default:
+		b.c.noteFailure(b.ctx, b.send, err)
+	}
+
+	return n, err //nolint:wrapcheck // io.Reader passes io.EOF on
+}
+
+// Close implements io.Closer.
+func (b *trackedBody) Close() error {
+	b.c.tracker.Abandon(b.c.g.s.Timer.Now(), b.send)
+
+	return b.ReadCloser.Close() //nolint:wrapcheck // passes the error on
+}
+
+// noteFailure records a send that ended with an error.
+func (c *crashReporter) noteFailure(ctx context.Context, send *correlator.Send, err error) {
+	now := c.g.s.Timer.Now()
+	switch {
+	case errors.Is(err, requester.ErrNotSent):
+		c.tracker.Discard(send)
+	case ctx.Err() != nil:
+		c.tracker.Abandon(now, send)
+	default:
+		c.tracker.Break(now, send)
 	}
 }
--- a/internal/gateway/dialect.go
+++ b/internal/gateway/dialect.go
@@ -64,6 +64,14 @@
 	Fault error
 }
 
+// ServerStatus is what a server states about itself when asked for its status.
+type ServerStatus struct {
+	// Replaced is set if another server has started at the address.
+	Replaced bool
+	// StartedAt is when the server was started, zero if it does not say.
+	StartedAt time.Time
+}
+
 // Dialect translates between HTTP headers and the gateway's types.
 type Dialect interface {
 	// Hints parses the headers of a caller's request. The text of an error is sent to the
@@ -93,4 +101,10 @@
 	// FreePromptRequest returns the request that frees the prompt that a server keeps under a
 	// handle.
 	FreePromptRequest(s *placer.Server, handle string) *requester.Request
+	// StatusRequest returns the request for the status of a server, which needs no capacity
+	// there.
+	StatusRequest(id, addr string) *requester.Request
+	// ParseStatus parses the response to that request. On an error, the status has what
+	// could be read.
+	ParseStatus(status int, body []byte) (ServerStatus, error)
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -79,6 +79,7 @@
 	g.mu.Lock()
 	g.startServer(defaultBounds())
 	g.mu.Unlock()
+	g.crashReporter.start()
 	g.tasks.Add(1)
 	go func() {
 		defer g.tasks.Done()
@@ -173,6 +174,7 @@
 	g.closeOnce.Do(func() {
 		g.BeginDrain()
 		g.cancel()
+		g.crashReporter.close()
 		if g.listener != nil {
 			_ = g.listener.Close()
 		}
--- a/internal/gateway/helpers_test.go
+++ b/internal/gateway/helpers_test.go
@@ -90,6 +90,22 @@
 	return &requester.Request{Method: http.MethodDelete, Target: "/free/" + handle, Host: "h"}
 }
 
+func (testDialect) StatusRequest(id, _ string) *requester.Request {
+	return &requester.Request{Method: http.MethodGet, Target: statusPath, Host: "h", Header: http.Header{"Server": {id}}}
+}
+
+func (testDialect) ParseStatus(status int, body []byte) (gateway.ServerStatus, error) {
+	if status == http.StatusMisdirectedRequest {
+		return gateway.ServerStatus{Replaced: true}, nil
+	}
+	started, err := strconv.ParseInt(string(body), 10, 64)
+	if err != nil {
+		return gateway.ServerStatus{}, err
+	}
+
+	return gateway.ServerStatus{StartedAt: time.UnixMilli(started)}, nil
+}
+
 // backend is a backend server whose answers a test scripts.
 type backend struct {
 	*httptest.Server
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -165,7 +165,7 @@
 // so.
 func (f *forwarder) noteCompleted(o outcome) {
 	if o == outcomeAnswered || o == outcomeFailed {
-		f.g.crashReporter.recentSuccesses.RecordSuccess(f.digest)
+		f.g.crashReporter.recentSuccesses.RecordSuccess(f.g.s.Timer.Now(), f.digest)
 	}
 }
 
@@ -187,7 +187,6 @@
 	}
 	f.countSend(s)
 	f.mayHaveRun = true
-	f.g.crashReporter.noteBroken(f, s)
 
 	return outcomeBroken
 }
--- a/internal/gateway/prefill.go
+++ b/internal/gateway/prefill.go
@@ -82,9 +82,6 @@
 	f.countPrefill(err == nil && response.Status == http.StatusOK, err)
 	if err != nil {
 		f.markFailed(s, err)
-		if !errors.Is(err, requester.ErrNotSent) && ctx.Err() == nil {
-			f.g.crashReporter.noteBroken(f, s)
-		}
 
 		return "", errors.Newf("prefill: %w", err)
 	}
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -8,6 +8,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/damasklever/damasklever/internal/correlator"
 	"github.com/damasklever/damasklever/internal/placer"
 	"github.com/damasklever/damasklever/internal/requester"
 )
@@ -37,10 +38,16 @@
 	// connection.
 	r.NewConn = slices.Contains(f.contacted, s.ID)
 	f.contacted = append(f.contacted, s.ID)
+	reporter := f.g.crashReporter
+	tracked := reporter.tracker.Start(f.g.s.Timer.Now(), correlator.Server{ID: s.ID, Addr: s.Addr}, f.digest, f.hints.ID)
 	response, err := f.g.s.Requester.Do(ctx, s.Addr, r)
 	if err != nil {
+		reporter.noteFailure(ctx, tracked, err)
+
 		return nil, errors.Newf("send to %s: %w", s.ID, err)
 	}
+	tracked.Heard(f.g.s.Timer.Now())
+	response.Body = &trackedBody{ReadCloser: response.Body, c: reporter, ctx: ctx, send: tracked}
 	f.applyNotice(s, response)
 
 	return response, nil
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -171,7 +171,6 @@
 		return outcomeCallerGone
 	}
 	f.g.s.Placer.RecordFailure(f.g.s.Timer.Now(), s.ID)
-	f.g.crashReporter.noteBroken(f, s)
 
 	return outcomeBroken
 }
--- a/internal/requester/requester.go
+++ b/internal/requester/requester.go
@@ -184,17 +184,6 @@
 	return response, nil
 }
 
-// Probe checks that a server accepts connections at addr. It opens one and closes it.
-func (rq *Requester) Probe(ctx context.Context, addr string) error {
-	conn, err := rq.dial(ctx, addr)
-	if err != nil {
-		return err
-	}
-	_ = conn.Close()
-
-	return nil
-}
-
 // acquire returns an idle connection, or opens one if there is none or newConn is set.
 func (rq *Requester) acquire(ctx context.Context, addr string, newConn bool) (*serverConn, error) {
 	if err := ctx.Err(); err != nil {
