gateway: do not clear a request of crashes because a server failed it

Callers saw: a request that ends servers may be sent on.

Cause: an answer with a 5xx counted as a good run, so that one server that failed the request instead of running it forgave its next crash, and all others within 2 s. Class of fault: a failure taken for a proof of the opposite.

Evidence: gateway.TestFailedAnswerDoesNotClearRequest failed before with "reports: got [] of [], want 1 of ending".

Change: only an answer below 500 is a good run.

After: the test passes.

--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -161,10 +161,9 @@
 	}
 }
 
-// noteCompleted records that a server has run the request to its end, if the outcome says
-// so.
+// noteCompleted records that a server has answered the request well, if the outcome says so.
 func (f *forwarder) noteCompleted(o outcome) {
-	if o == outcomeAnswered || o == outcomeFailed {
+	if o == outcomeAnswered {
 		f.g.crashReporter.recentSuccesses.RecordSuccess(f.g.s.Timer.Now(), f.digest)
 	}
 }
--- a/internal/gateway/server_end_test.go
+++ b/internal/gateway/server_end_test.go
@@ -188,6 +188,29 @@
 	checkReports(t, l, "ending", 1)
 }
 
+// Guards against clearing a request because a server answered it with an error.
+func TestFailedAnswerDoesNotClearRequest(t *testing.T) {
+	l := &fakeLedger{}
+	b := newBackend(t, "ending", nil)
+	var first sync.Once
+	b.handler = func(w http.ResponseWriter, r *http.Request) {
+		failed := false
+		first.Do(func() {
+			failed = true
+			w.WriteHeader(http.StatusInternalServerError)
+		})
+		if !failed {
+			b.Listener.Close()
+			breakConnection(w, r)
+		}
+	}
+	r := newCrashTestGateway(t, l, nil, b.server(placer.Plain))
+	for range 2 {
+		r.call(t, http.MethodPost, "/once/x", poisonBody, nil)
+	}
+	checkReports(t, l, "ending", 1)
+}
+
 // Blame of a ledger without control hosts must not keep the gateway from closing.
 func TestCloseWithoutLedger(t *testing.T) {
 	l := &stuckLedger{entered: make(chan struct{})}
