gateway: leave out requests that have run well before limiting a crash report

Callers saw: a request that ends servers may be sent on.

Cause: the list of requests that were on a crashed server was cut to 64 before those that had run well lately were left out, so that popular ones could crowd out the one that crashes servers.

Evidence: gateway.TestServerEndUnderManyRequests (200 popular requests and one other) failed before with "reports: got [] of [], want 1 of ending".

Change: the list is cut after that.

--- a/internal/gateway/crash_reporter.go
+++ b/internal/gateway/crash_reporter.go
@@ -126,7 +126,8 @@
 	for _, l := range lost {
 		digests, ids = append(digests, l.Digest), append(ids, l.ID)
 	}
-	suspects := c.recentSuccesses.Suspects(now, lost[:min(len(lost), maxSuspects)])
+	suspects := c.recentSuccesses.Suspects(now, lost)
+	suspects = suspects[:min(len(suspects), maxSuspects)]
 	c.g.s.Log.Warn().Str("server", s.ID).Str("addr", s.Addr).Strs("digests", digests).Strs("ids", ids).Strs("suspects", suspects).
 		Bool("replaced", status.Replaced).Bool("silent", state == correlator.Silent).Err(err).Msg("server crashed while running requests")
 	if len(suspects) == 0 {
--- a/internal/gateway/server_end_test.go
+++ b/internal/gateway/server_end_test.go
@@ -211,6 +211,47 @@
 	checkReports(t, l, "ending", 1)
 }
 
+// Guards against cutting the list of lost requests before those that have run well are left
+// out.
+func TestServerEndUnderManyRequests(t *testing.T) {
+	const popular = 200
+	l := &fakeLedger{}
+	b := newBackend(t, "ending", nil)
+	var mu sync.Mutex
+	crashing, arrived := false, 0
+	all := make(chan struct{})
+	b.handler = func(w http.ResponseWriter, r *http.Request) {
+		mu.Lock()
+		if !crashing {
+			mu.Unlock()
+			io.WriteString(w, "ok")
+
+			return
+		}
+		if arrived++; arrived == popular+1 {
+			b.Listener.Close()
+			close(all)
+		}
+		mu.Unlock()
+		<-all
+		breakConnection(w, r)
+	}
+	r := newCrashTestGateway(t, l, nil, b.server(placer.Plain))
+	for n := range popular {
+		r.call(t, http.MethodPost, "/once/x", strconv.Itoa(n), nil)
+	}
+	mu.Lock()
+	crashing = true
+	mu.Unlock()
+	var calls sync.WaitGroup
+	for n := range popular {
+		calls.Go(func() { r.call(t, http.MethodPost, "/once/x", strconv.Itoa(n), nil) })
+	}
+	calls.Go(func() { r.call(t, http.MethodPost, "/once/x", poisonBody, nil) })
+	calls.Wait()
+	checkReports(t, l, "ending", 1)
+}
+
 // Blame of a ledger without control hosts must not keep the gateway from closing.
 func TestCloseWithoutLedger(t *testing.T) {
 	l := &stuckLedger{entered: make(chan struct{})}
