gateway: read and log the limit that a server names

Operators saw: servers that name a limit get as many requests as before. Nothing in the logs says that a server had named one.

Change: Notice has the limit of an answer, in bounds; each answer that names one leaves a line, and a bad value is logged with the request's id. Nothing is limited yet.

--- a/internal/gateway/dialect.go
+++ b/internal/gateway/dialect.go
@@ -59,8 +59,11 @@
 	// Pause is how long the server wants to receive no further requests; 0 if it does not
 	// say.
 	Pause time.Duration
-	// Fault is the error of a part of the notice that could not be parsed; nil if there is
-	// none.
+	// Limit is the number of requests per second that the server takes from all gateways
+	// together; 0 if it names none.
+	Limit float64
+	// Fault is the error of a part of the notice that could not be parsed or was out of
+	// range; nil if there is none.
 	Fault error
 }
 
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -57,7 +57,10 @@
 func (f *forwarder) applyNotice(s *placer.Server, r *requester.Response) {
 	n, now := f.g.s.Dialect.Notice(r.Status, r.Header), f.g.s.Timer.Now()
 	if n.Fault != nil {
-		f.g.s.Log.Warn().Str("id", f.hints.ID).Str("server", s.ID).Err(n.Fault).Msg("ignored unreadable server notice")
+		f.g.s.Log.Warn().Str("id", f.hints.ID).Str("server", s.ID).Err(n.Fault).Msg("invalid server notice")
+	}
+	if n.Limit > 0 {
+		f.g.s.Log.Info().Str("id", f.hints.ID).Str("server", s.ID).Int("status", r.Status).Float64("limit", n.Limit).Msg("server limits its requests")
 	}
 	if n.Leaving && f.g.s.Placer.MarkLeaving(now, s.ID) {
 		f.g.s.Log.Info().Str("id", f.hints.ID).Str("server", s.ID).Msg("server announced its shutdown")
