Keep the limits that servers name, for all entries together

Callers and operators saw: two servers that had named limits of 2.3 and 1.9 requests a second got 27 and 25 in four seconds (19 and 16 allowed).

Cause: nothing read the header. Class of fault: a statement of a server on its own condition that is not applied, and, if each entry applied it alone, a bound on a sum that is kept by each part.

Change: limits are read from every answer that an entry gets, and from the reports that agents read. The leader of the control hosts grants whole requests to the entries by their demand and tells all entries of all limits, also those that have just joined. Runs, prefills, second sends, reservations and calls that free or check something count. Placement leaves out a server whose grants are used up; without another one a request waits for a grant only if it can get one soon. A limit ends with an answer that names none, to a request sent after the limit was last named.

Why it works: what is granted and unused is bounded for all entries together by what the server takes in a second and two requests, so any four seconds have at most that, what has accumulated in half a second and four seconds of the limit, however many entries there are and however suddenly they all have requests.

Ruled out: an even part of the limit for each entry, kept by itself: entries that have been idle may all send at once, 26 where 17 are allowed.

--- a/internal/controller/attachments.go
+++ b/internal/controller/attachments.go
@@ -2,6 +2,7 @@
 
 import (
 	"sync"
+	"time"
 
 	"github.com/damasklever/damasklever/internal/wire"
 )
@@ -20,6 +21,9 @@
 	leaving bool
 	flights []*wire.Flight
 	usages  []*wire.Usage
+	// throttles were received at throttledAt.
+	throttles   []*wire.Throttle
+	throttledAt time.Time
 }
 
 func newAttachments() *attachments {
@@ -43,13 +47,14 @@
 	return s.leaving
 }
 
-func (d *attachments) recordHeartbeat(s *attachment, b *wire.Beat) {
+func (d *attachments) recordHeartbeat(now time.Time, s *attachment, b *wire.Beat) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	s.index = max(s.index, b.GetIndex())
 	s.leaving = s.leaving || b.GetLeaving()
 	s.flights = b.GetFlights()
 	s.usages = b.GetUsages()
+	s.throttles, s.throttledAt = b.GetThrottles(), now
 }
 
 // notifyAll closes the channel that changeSignal returned and replaces it.
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -18,6 +18,7 @@
 	"github.com/damasklever/damasklever/internal/messenger"
 	"github.com/damasklever/damasklever/internal/recorder"
 	"github.com/damasklever/damasklever/internal/replicator"
+	"github.com/damasklever/damasklever/internal/throttler"
 	"github.com/damasklever/damasklever/internal/timer"
 	"github.com/damasklever/damasklever/internal/wire"
 )
@@ -84,8 +85,10 @@
 	announcedWrites   uint64 // write count last sent to the other members
 	hosts             hostList
 	quotas            quotas
-	allocator         *limiter.Allocator    // nil unless this host leads
+	allocator         *limiter.Allocator // nil unless this host leads
+	distributor       *throttler.Distributor
 	allotments        []*wire.Quota         // computed in the last round
+	allocatedAt       time.Time             // when the last round began
 	allocating        bool                  // whether quotas are being exchanged
 	detachedSince     map[entryID]time.Time // when the entry processes with claims were found detached, or last proposed as absent
 }
--- a/internal/controller/quotas.go
+++ b/internal/controller/quotas.go
@@ -8,12 +8,16 @@
 
 	"github.com/damasklever/damasklever/internal/limiter"
 	"github.com/damasklever/damasklever/internal/replicator"
+	"github.com/damasklever/damasklever/internal/throttler"
 	"github.com/damasklever/damasklever/internal/wire"
 )
 
 const (
-	// quotaInterval is how often the leader divides the customers' rates among the entries.
+	// quotaInterval is how often the leader divides the customers' rates and the requests to
+	// servers that limit them among the entries.
 	quotaInterval = 200 * time.Millisecond
+	// idleQuotaInterval is how often it asks for new limits of servers while there are none.
+	idleQuotaInterval = time.Second
 	// quotaTimeout bounds one quota exchange with another control host.
 	quotaTimeout = 300 * time.Millisecond
 	// maxQuotaAge is the age after which allotments expire: three rounds.
@@ -24,15 +28,15 @@
 type quotas struct {
 	mu         sync.Mutex
 	receivedAt time.Time // zero if nothing was received
-	byEntry    map[entryID][]*wire.Allotment
+	byEntry    map[entryID]*wire.Quota
 }
 
 // exchange stores the leader's allotments and returns the usages reported by the entries
 // attached to this host.
 func (q *quotas) exchange(now time.Time, attached *attachments, in *wire.Quotas) *wire.Quotas {
-	byEntry := make(map[entryID][]*wire.Allotment, len(in.GetQuotas()))
+	byEntry := make(map[entryID]*wire.Quota, len(in.GetQuotas()))
 	for _, x := range in.GetQuotas() {
-		byEntry[entryID{x.GetEntry(), x.GetEpoch()}] = x.GetAllotments()
+		byEntry[entryID{x.GetEntry(), x.GetEpoch()}] = x
 	}
 	if len(byEntry) > 0 { // a new leader has not computed allotments yet
 		q.mu.Lock()
@@ -40,57 +44,81 @@
 		q.mu.Unlock()
 	}
 
-	return &wire.Quotas{Quotas: attached.usages()}
+	return &wire.Quotas{Quotas: attached.usages(now)}
 }
 
-// allotments returns the allotments of an entry and whether they are recent.
-func (q *quotas) allotments(now time.Time, id entryID) ([]*wire.Allotment, bool) {
+// ofEntry returns the allotments and grants of an entry, which may be empty, or nil if they
+// are not recent.
+func (q *quotas) ofEntry(now time.Time, id entryID) *wire.Quota {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	if q.receivedAt.IsZero() || now.Sub(q.receivedAt) > maxQuotaAge {
-		return nil, false
+		return nil
+	}
+	if out := q.byEntry[id]; out != nil {
+		return out
 	}
 
-	return q.byEntry[id], true
+	return &wire.Quota{}
 }
 
-// usages returns the usages last reported by the attached entries.
-func (d *attachments) usages() []*wire.Quota {
+// usages returns what the attached entries have last reported.
+func (d *attachments) usages(now time.Time) []*wire.Quota {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	var out []*wire.Quota
 	for s := range d.processes {
 		if s.attach.GetRole() == entryRole {
-			out = append(out, &wire.Quota{Entry: s.attach.GetName(), Epoch: s.attach.GetEpoch(), Usages: s.usages})
+			out = append(out, &wire.Quota{
+				Entry: s.attach.GetName(), Epoch: s.attach.GetEpoch(), Usages: s.usages, Throttles: s.throttlesAt(now),
+			})
 		}
 	}
 
 	return out
 }
 
-// allocateQuotas runs in the event loop. On the leader it sends the allotments of the
-// previous round to the other hosts, collects the usages, and computes new allotments.
+// throttlesAt returns the last reported throttles with their present ages.
+func (s *attachment) throttlesAt(now time.Time) []*wire.Throttle {
+	out := make([]*wire.Throttle, 0, len(s.throttles))
+	for _, x := range s.throttles {
+		out = append(out, &wire.Throttle{
+			Server: x.GetServer(), Limit: x.GetLimit(), Age: x.GetAge() + max(now.Sub(s.throttledAt), 0).Milliseconds(),
+			Demand: x.GetDemand(), Used: x.GetUsed(), Granted: x.GetGranted(),
+		})
+	}
+
+	return out
+}
+
+// allocateQuotas runs in the event loop. On the leader it sends the allotments and grants of
+// the previous round to the other hosts, collects what entries have used, and computes new
+// ones.
 func (c *Controller) allocateQuotas() {
 	if c.core.Status().Role != replicator.Leader {
-		c.allocator, c.allotments = nil, nil
+		c.allocator, c.distributor, c.allotments = nil, nil, nil
 
 		return
 	}
 	customers := c.state.Plan().GetCustomers()
 	limited := slices.ContainsFunc(customers, func(x *wire.Customer) bool { return x.GetRate() > 0 })
-	if c.allocating || !limited {
-		return
-	}
 	if c.allocator == nil {
-		c.allocator = limiter.NewAllocator()
+		c.allocator, c.distributor = limiter.NewAllocator(), throttler.NewDistributor()
+	}
+	now := c.s.Timer.Now()
+	if c.allocating || !limited && !c.distributor.Active() && now.Sub(c.allocatedAt) < idleQuotaInterval {
+		return
 	}
-	c.allocating = true
-	allocator, allotments, entries, members := c.allocator, c.allotments, c.state.Entries(), c.members
+	c.allocating, c.allocatedAt = true, now
+	allocator, distributor, allotments, entries, members := c.allocator, c.distributor, c.allotments, c.state.Entries(), c.members
 	c.wg.Add(1)
 	go func() {
 		defer c.wg.Done()
 		reports := c.exchangeQuotas(c.ctx, members, allotments)
 		next := allocator.Allocate(c.s.Timer.Now(), customers, entries, reports)
+		for i, grants := range distributor.Distribute(c.s.Timer.Now(), reports) {
+			next[i].Grants = grants
+		}
 		c.do(func() {
 			c.allocating = false
 			if c.allocator == allocator {
@@ -131,13 +159,16 @@
 	return out
 }
 
-// totalUsed returns an entry's usage summed over all customers. Usage accumulates, apart
+// totalUsed returns an entry's usage summed over all customers and servers. Usage accumulates, apart
 // from refunds, so the report with the higher total is taken for the later one.
 func totalUsed(q *wire.Quota) float64 {
 	sum := 0.0
 	for _, u := range q.GetUsages() {
 		sum += u.GetUsed()
 	}
+	for _, u := range q.GetThrottles() {
+		sum += u.GetUsed()
+	}
 
 	return sum
 }
--- a/internal/controller/server.go
+++ b/internal/controller/server.go
@@ -113,7 +113,7 @@
 			if s.Recv(&b) != nil {
 				return
 			}
-			c.attachments.recordHeartbeat(attachment, &b)
+			c.attachments.recordHeartbeat(c.s.Timer.Now(), attachment, &b)
 		}
 	}()
 	c.sendNotices(ctx, s, a)
@@ -254,7 +254,9 @@
 func (c *Controller) sendPulse(s *messenger.Stream, sent uint64, a *wire.Attach) error {
 	p := &wire.Pulse{Lease: leaseUnknown}
 	if a.GetRole() == entryRole {
-		p.Allotments, p.Allotted = c.quotas.allotments(c.s.Timer.Now(), entryID{a.GetName(), a.GetEpoch()})
+		if q := c.quotas.ofEntry(c.s.Timer.Now(), entryID{a.GetName(), a.GetEpoch()}); q != nil {
+			p.Allotted, p.Allotments, p.Grants = true, q.GetAllotments(), q.GetGrants()
+		}
 	}
 	c.do(func() {
 		for _, m := range c.members.GetVoters() {
--- a/internal/gateway/crash_reporter.go
+++ b/internal/gateway/crash_reporter.go
@@ -146,11 +146,13 @@
 	defer cancel()
 	r := c.g.s.Dialect.StatusRequest(s.ID, s.Addr)
 	r.NewConn = true
+	c.g.s.Throttler.Charge(c.g.s.Timer.Now(), s.ID, 1)
 	response, err := c.g.s.Requester.Do(ctx, s.Addr, r)
 	if err != nil {
 		return stateOf(err), ServerStatus{}, errors.Newf("request status of %s: %w", s.ID, err)
 	}
 	defer func() { _ = response.Body.Close() }()
+	c.g.observeLimit(s.ID, c.g.s.Dialect.Notice(response.Status, response.Header).Limit, time.Time{})
 	body, err := readBody(response)
 	if err != nil {
 		return stateOf(err), ServerStatus{}, errors.Newf("read status of %s: %w", s.ID, err)
--- a/internal/gateway/forwarder.go
+++ b/internal/gateway/forwarder.go
@@ -41,6 +41,8 @@
 	deadline time.Time
 	// sends is the number of servers that the request was sent to.
 	sends int
+	// waitedForGrant is set once the request has waited for a server that limits its requests.
+	waitedForGrant bool
 	// prefills is the number of prefill servers that accepted the prompt.
 	prefills int
 	// mayHaveRun is set once the request may have run at a server.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -30,6 +30,7 @@
 	conns         *connTracker
 	backlog       *backlog
 	crashReporter *crashReporter
+	grantWaiters  grantWaiters
 	connListener  *connListener
 
 	leaving   atomic.Bool
@@ -56,6 +57,7 @@
 	g := &Gateway{
 		s: s, metrics: newMetrics(), done: make(chan struct{}), retryBudgets: make(map[string]*admitter.Budget),
 		acceptDone: make(chan struct{}), conns: newConnTracker(), backlog: newBacklog(),
+		grantWaiters: grantWaiters{count: make(map[string]int)},
 	}
 	if err := registry.Register(g.metrics); err != nil {
 		return nil, errors.Newf("register metrics of gateway: %w", err)
--- a/internal/gateway/helpers_test.go
+++ b/internal/gateway/helpers_test.go
@@ -71,7 +71,9 @@
 func (testDialect) Notice(_ int, h http.Header) gateway.Notice {
 	pause, _ := time.ParseDuration(h.Get("Rest"))
 
-	return gateway.Notice{Leaving: h.Get("Leaving") != "", Pause: pause}
+	limit, _ := strconv.ParseFloat(h.Get(limitHeader), 64)
+
+	return gateway.Notice{Leaving: h.Get("Leaving") != "", Pause: pause, Limit: limit}
 }
 
 func (testDialect) ParseHandle(body []byte) (string, error) { return string(body), nil }
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -54,6 +54,10 @@
 		now := f.g.s.Timer.Now()
 		c, ok := f.g.s.Placer.PickPlain(now, placer.Query{Pool: f.pool, Avoid: f.tried})
 		if !ok {
+			if f.awaitGrant() {
+				continue
+			}
+
 			break
 		}
 		got, o, err := f.callServer(c.Server)
--- a/internal/gateway/reservation.go
+++ b/internal/gateway/reservation.go
@@ -27,6 +27,10 @@
 	fullServerPause = 200 * time.Millisecond
 )
 
+// requestsWithReservation is the number of requests that a reservation and its use count for
+// at a server that limits its requests.
+const requestsWithReservation = 2
+
 // errNoMemory is returned if a server has no memory to reserve.
 var errNoMemory = errors.New("no memory to reserve")
 
@@ -80,7 +84,8 @@
 				return p, nil
 			}
 		}
-		if len(candidates) == 0 && f.g.s.Placer.Count(f.pool) == 0 {
+		now := f.g.s.Timer.Now()
+		if len(candidates) == 0 && (f.g.s.Placer.Count(f.pool) == 0 || len(f.g.s.Placer.Exhausted(now, q)) > 0) {
 			return nil, errNoServer
 		}
 		f.sleep(time.Duration((1 + rand.Float64()) * float64(f.rank()+1) * float64(reserveRetryPause))) //nolint:gosec // not used for security
@@ -156,13 +161,23 @@
 // requestReservation asks a server to reserve memory and returns the name of the
 // reservation.
 func (f *forwarder) requestReservation(s *placer.Server, ttl time.Duration) (string, error) {
+	// The request that uses the reservation is counted with it.
+	if !f.g.s.Throttler.Take(f.g.s.Timer.Now(), s.ID, requestsWithReservation) {
+		return "", errors.Newf("reserve memory: %w", errThrottled)
+	}
+	reserved := false
+	defer func() {
+		if !reserved {
+			f.g.s.Throttler.Refund(s.ID, requestsWithReservation-1)
+		}
+	}()
 	ctx, cancel := context.WithTimeout(f.ctx, reserveTimeout)
 	defer cancel()
 	response, err := f.g.s.Requester.Do(ctx, s.Addr, f.g.s.Dialect.ReserveRequest(s, f.memoryTokens(), ttl))
 	if err != nil {
 		return "", errors.Newf("reserve memory: %w", err)
 	}
-	f.applyNotice(s, response)
+	f.applyNotice(s, response, time.Time{})
 	body, err := readBody(response)
 	switch {
 	case err != nil:
@@ -176,6 +191,7 @@
 	if err != nil {
 		return "", errors.Newf("reserve memory: %w", err)
 	}
+	reserved = true
 	f.g.s.Log.Info().Str("id", f.hints.ID).Str("server", s.ID).Int("tokens", f.memoryTokens()).Str("hold", reservationID).Msg("memory reserved")
 
 	return reservationID, nil
--- a/internal/gateway/response.go
+++ b/internal/gateway/response.go
@@ -117,6 +117,11 @@
 
 		return
 	}
+	if len(f.g.s.Placer.Exhausted(f.g.s.Timer.Now(), placer.Query{Pool: f.pool})) > 0 {
+		f.refuse("all servers limit their requests", limitedRetryAfter)
+
+		return
+	}
 	f.g.s.OnNoServer()
 	f.refuse("no server", f.g.s.NoServerRetryAfter)
 }
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -4,7 +4,9 @@
 	"bytes"
 	"context"
 	"io"
+	"net/http"
 	"slices"
+	"time"
 
 	"github.com/cockroachdb/errors"
 
@@ -32,6 +34,13 @@
 	if f.blocked() > 0 {
 		return nil, errBlocked
 	}
+	// A reservation has counted for its request too.
+	charged := 1.0
+	if send.ReservationID != "" {
+		charged = 0
+	} else if !f.g.s.Throttler.Take(f.g.s.Timer.Now(), s.ID, charged) {
+		return nil, errors.Newf("send to %s: %w", s.ID, errThrottled)
+	}
 	r := f.newRequest(send)
 	// A late duplicate of an earlier response bears the same id and must not be taken for
 	// the response to this send, so a server that was contacted before gets a new
@@ -39,29 +48,35 @@
 	r.NewConn = slices.Contains(f.contacted, s.ID)
 	f.contacted = append(f.contacted, s.ID)
 	reporter := f.g.crashReporter
-	tracked := reporter.tracker.Start(f.g.s.Timer.Now(), correlator.Server{ID: s.ID, Addr: s.Addr}, f.digest, f.hints.ID)
+	sent := f.g.s.Timer.Now()
+	tracked := reporter.tracker.Start(sent, correlator.Server{ID: s.ID, Addr: s.Addr}, f.digest, f.hints.ID)
 	response, err := f.g.s.Requester.Do(ctx, s.Addr, r)
 	if err != nil {
 		reporter.noteFailure(ctx, tracked, err)
+		if errors.Is(err, requester.ErrNotSent) {
+			f.g.s.Throttler.Refund(s.ID, charged)
+		}
 
 		return nil, errors.Newf("send to %s: %w", s.ID, err)
 	}
 	tracked.Heard(f.g.s.Timer.Now())
 	response.Body = &trackedBody{ReadCloser: response.Body, c: reporter, ctx: ctx, send: tracked}
-	f.applyNotice(s, response)
+	f.applyNotice(s, response, sent)
 
 	return response, nil
 }
 
-// applyNotice reports to the placer what a response states about its server.
-func (f *forwarder) applyNotice(s *placer.Server, r *requester.Response) {
+// applyNotice applies what a response states about its server. sent is when the request was
+// sent, zero if it was not the caller's.
+func (f *forwarder) applyNotice(s *placer.Server, r *requester.Response, sent time.Time) {
 	n, now := f.g.s.Dialect.Notice(r.Status, r.Header), f.g.s.Timer.Now()
 	if n.Fault != nil {
 		f.g.s.Log.Warn().Str("id", f.hints.ID).Str("server", s.ID).Err(n.Fault).Msg("invalid server notice")
 	}
-	if n.Limit > 0 {
-		f.g.s.Log.Info().Str("id", f.hints.ID).Str("server", s.ID).Int("status", r.Status).Float64("limit", n.Limit).Msg("server limits its requests")
+	if f.g.s.Dialect.IsRefusal(r.Status, r.Header) || r.Status >= http.StatusInternalServerError {
+		sent = time.Time{}
 	}
+	f.g.observeLimit(s.ID, n.Limit, sent)
 	if n.Leaving && f.g.s.Placer.MarkLeaving(now, s.ID) {
 		f.g.s.Log.Info().Str("id", f.hints.ID).Str("server", s.ID).Msg("server announced its shutdown")
 	}
@@ -74,7 +89,7 @@
 
 // markFailed reports a failed send to the placer, which then prefers other servers.
 func (f *forwarder) markFailed(s *placer.Server, err error) {
-	if !errors.Is(err, errServerUnavailable) && !errors.Is(err, errBlocked) {
+	if !errors.Is(err, errServerUnavailable) && !errors.Is(err, errBlocked) && !errors.Is(err, errThrottled) {
 		f.g.s.Placer.RecordFailure(f.g.s.Timer.Now(), s.ID)
 	}
 }
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -35,6 +35,8 @@
 	Agents Agents
 	// Limiter enforces the rate limits of customers; nil for no limits.
 	Limiter Limiter
+	// Throttler keeps the limits that servers name; nil to ignore them.
+	Throttler Throttler
 	// CrashLedger is the record of requests that crash servers; nil to keep none.
 	CrashLedger CrashLedger
 	Timer       timer.Service
@@ -115,6 +117,9 @@
 	if s.Limiter == nil {
 		s.Limiter = noLimiter{}
 	}
+	if s.Throttler == nil {
+		s.Throttler = noThrottler{}
+	}
 	if s.CrashLedger == nil {
 		s.CrashLedger = noCrashLedger{}
 	}
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -22,6 +22,9 @@
 	var failure *bufferedResponse
 	for unreachable := 0; unreachable < maxUnreachable && f.blocked() == 0; {
 		p, err := f.reserve()
+		if errors.Is(err, errNoServer) && f.awaitGrant() {
+			continue
+		}
 		if err != nil {
 			f.finishUnserved(out, failure, err)
 
@@ -200,8 +203,10 @@
 		defer f.g.tasks.Done()
 		ctx, cancel := context.WithTimeout(f.g.ctx, freeTimeout)
 		defer cancel()
+		f.g.s.Throttler.Charge(f.g.s.Timer.Now(), s.ID, 1)
 		response, err := f.g.s.Requester.Do(ctx, s.Addr, r)
 		if err == nil {
+			f.applyNotice(s, response, time.Time{})
 			_, err = io.Copy(io.Discard, io.LimitReader(response.Body, maxBuffered))
 			_ = response.Body.Close()
 		}
--- a/internal/grantclient/grantclient.go
+++ b/internal/grantclient/grantclient.go
@@ -89,7 +89,10 @@
 	// Waits are the expected queueing times by priority class.
 	Waits   []time.Duration
 	Leaving bool
-	Age     time.Duration // since the last message of the grant server
+	// Limit is the number of requests per second that the server takes in all, 0 if it names
+	// none.
+	Limit float64
+	Age   time.Duration // since the last message of the grant server
 }
 
 // Ask is a request for a grant at one server.
@@ -193,6 +196,25 @@
 	return l.lastLoad()
 }
 
+// Limited returns the loads of the servers that limit their requests.
+func (c *Client) Limited() map[string]Load {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var out map[string]Load
+	for server, l := range c.links {
+		load, ok := l.lastLoad()
+		if !ok || load.Limit <= 0 {
+			continue
+		}
+		if out == nil {
+			out = make(map[string]Load)
+		}
+		out[server] = load
+	}
+
+	return out
+}
+
 // NeverConnected reports whether several attempts to reach the grant server of a backend
 // server have failed and none has ever succeeded.
 func (c *Client) NeverConnected(server string) bool {
--- a/internal/grantclient/link.go
+++ b/internal/grantclient/link.go
@@ -274,6 +274,7 @@
 	out := Load{
 		Total: int(l.load.GetTotal()), Free: int(l.load.GetFree()), Queued: int(l.load.GetQueued()),
 		Leaving: l.load.GetLeaving(), Age: l.c.s.Timer.Now().Sub(l.lastHeard),
+		Limit: l.load.GetLimit(),
 	}
 	for _, w := range l.load.GetWaits() {
 		out.Waits = append(out.Waits, time.Duration(w)*time.Millisecond)
--- a/internal/grantserver/client.go
+++ b/internal/grantserver/client.go
@@ -119,7 +119,7 @@
 		return &wire.Load{Leaving: true}
 	}
 	in := gs.granter.Load(gs.s.Timer.Now())
-	out := &wire.Load{Total: int64(in.Total), Free: int64(in.Free)}
+	out := &wire.Load{Total: int64(in.Total), Free: int64(in.Free), Limit: gs.report.Limit}
 	if gs.report.Phase == Decode {
 		out.Total, out.Free = out.Total*int64(gs.s.BlockSize), out.Free*int64(gs.s.BlockSize)
 	}
--- a/internal/grantserver/settings.go
+++ b/internal/grantserver/settings.go
@@ -32,6 +32,12 @@
 	// StartID differs for each start of the server.
 	StartID int64
 	Leaving bool
+	// Limit is the number of requests per second that the server takes in all, 0 if it names
+	// none.
+	Limit float64
+	// Fault is the error of a part that could not be parsed or was out of range; nil if there
+	// is none.
+	Fault error
 }
 
 // ReportSource reads the backend server's report.
--- a/internal/grantserver/watch.go
+++ b/internal/grantserver/watch.go
@@ -65,6 +65,9 @@
 		gs.resetGranter(now)
 	}
 	gs.updateUngranted(now, previous)
+	if r.Fault != nil && previous.Fault == nil {
+		gs.s.Log.Warn().Err(r.Fault).Msg("invalid server notice")
+	}
 	if r.Leaving && !previous.Leaving {
 		gs.s.Log.Info().Msg("server is leaving")
 		gs.deliver(gs.granter.Drain(now))
--- a/internal/placer/availability.go
+++ b/internal/placer/availability.go
@@ -1,6 +1,9 @@
 package placer
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // maxPause caps the pause that a server may ask for.
 const maxPause = 10 * time.Minute
@@ -84,6 +87,25 @@
 	return least
 }
 
+// Exhausted returns the servers that could run a request but that limit their requests and
+// may get none now, if there is no other server.
+func (p *Placer) Exhausted(now time.Time, q Query) []string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var out []string
+	for _, st := range p.pools[q.Pool] {
+		if st.unavailable(now) || st.Stage == Prefill || slices.Contains(q.Avoid, st.ID) {
+			continue
+		}
+		if !p.s.Throttle.Exhausted(now, st.ID) {
+			return nil
+		}
+		out = append(out, st.ID)
+	}
+
+	return out
+}
+
 func (st *serverState) unavailable(now time.Time) bool {
 	return st.Leaving || st.announcedLeaving(now) || st.pausedUntil.After(now)
 }
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -51,6 +51,24 @@
 	Prefill *Server
 }
 
+// Throttle knows how many requests may be sent to servers that limit them.
+type Throttle interface {
+	// Allows reports whether a request may be sent to a server now, and counts as demand for
+	// it.
+	Allows(now time.Time, server string) bool
+	// Exhausted reports whether no request may be sent to a server now.
+	Exhausted(now time.Time, server string) bool
+}
+
+// noThrottle allows every request.
+type noThrottle struct{}
+
+// Allows implements Throttle.
+func (noThrottle) Allows(time.Time, string) bool { return true }
+
+// Exhausted implements Throttle.
+func (noThrottle) Exhausted(time.Time, string) bool { return false }
+
 // Settings configures a Placer. Centre and Region are required.
 type Settings struct {
 	// Centre and Region are the data centre and the region of this process.
@@ -70,6 +88,8 @@
 	// Penalty is how long a server is avoided after its first failure. It doubles with
 	// each further failure, up to MaxPenalty.
 	Penalty, MaxPenalty time.Duration
+	// Throttle knows the servers that limit their requests. By default there are none.
+	Throttle Throttle
 	// Random returns a random number in [0, 1).
 	Random func() float64
 	// Now returns the current time. It defaults to time.Now.
@@ -104,6 +124,9 @@
 	defaulter.Default(&s.TransferDelay, defaultTransferDelay)
 	defaulter.Default(&s.Penalty, defaultPenalty)
 	defaulter.Default(&s.MaxPenalty, defaultMaxPenalty)
+	if s.Throttle == nil {
+		s.Throttle = noThrottle{}
+	}
 	if s.Random == nil {
 		s.Random = rand.Float64
 	}
@@ -287,7 +310,7 @@
 		// A prefill server is optional, so one that failed recently is left out; a decode
 		// server is required, so it only costs more.
 		trusted := stage != Prefill || !st.avoidUntil.After(now)
-		if st.unavailable(now) || st.Stage != stage || !trusted || slices.Contains(q.Avoid, st.ID) {
+		if st.unavailable(now) || st.Stage != stage || !trusted || slices.Contains(q.Avoid, st.ID) || !p.s.Throttle.Allows(now, st.ID) {
 			continue
 		}
 		l, ok := agentLoad(st.ID)
@@ -368,7 +391,7 @@
 	var bestClass, same int
 	var bestCost time.Duration
 	for _, st := range p.pools[q.Pool] {
-		if st.unavailable(now) || st.Stage != stage || slices.Contains(q.Avoid, st.ID) {
+		if st.unavailable(now) || st.Stage != stage || slices.Contains(q.Avoid, st.ID) || !p.s.Throttle.Allows(now, st.ID) {
 			continue
 		}
 		class := 0
--- a/internal/subscriber/settings.go
+++ b/internal/subscriber/settings.go
@@ -70,6 +70,12 @@
 	// quota that this process may admit; nil if it serves no customers. It must not
 	// block.
 	SetAllotments func(entries int, allotments []*wire.Allotment)
+	// Throttles returns what this process knows of servers that limit their requests, for
+	// the next heartbeat; may be nil. It must not block.
+	Throttles func() []*wire.Throttle
+	// SetGrants receives how many requests this process may send to such servers; may be
+	// nil. It must not block.
+	SetGrants func(grants []*wire.RequestGrant)
 	// Log is the logger for connection events; if nil, nothing is logged.
 	Log *log.Logger
 	// HeartbeatInterval is the interval between heartbeats.
@@ -109,6 +115,12 @@
 	if s.SetAllotments == nil {
 		s.SetAllotments = func(int, []*wire.Allotment) {}
 	}
+	if s.Throttles == nil {
+		s.Throttles = func() []*wire.Throttle { return nil }
+	}
+	if s.SetGrants == nil {
+		s.SetGrants = func([]*wire.RequestGrant) {}
+	}
 	if s.Leaving == nil {
 		s.Leaving = func() bool { return false }
 	}
--- a/internal/subscriber/subscriber.go
+++ b/internal/subscriber/subscriber.go
@@ -303,7 +303,10 @@
 // tick sends a heartbeat, or disconnects from a host that has been silent for too
 // long. It is called at every heartbeat interval.
 func (s *Subscriber) tick(now time.Time) {
-	beat := &wire.Beat{Index: s.View().Index(), Leaving: s.s.Leaving(), Flights: mostOverdue(s.s.Flights()), Usages: s.s.Usages()}
+	beat := &wire.Beat{
+		Index: s.View().Index(), Leaving: s.s.Leaving(), Flights: mostOverdue(s.s.Flights()), Usages: s.s.Usages(),
+		Throttles: s.s.Throttles(),
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	l := s.link
@@ -382,6 +385,7 @@
 	s.entryCount = int(p.GetEntries())
 	if p.GetAllotted() {
 		s.s.SetAllotments(s.entryCount, p.GetAllotments())
+		s.s.SetGrants(p.GetGrants())
 	}
 	if len(p.GetHosts()) > 0 {
 		s.updateHosts(p.GetHosts())
