--- a/internal/limiter/limiter.go
+++ b/internal/limiter/limiter.go
@@ -51,7 +51,7 @@
 type bucket struct {
 	level     float64
 	refilled  time.Time
-	demand    movingRate
+	demand    MovingRate
 	lastAsked time.Time
 	used      float64
 }
@@ -102,7 +102,7 @@
 	rate := l.share(now, c.GetName()) * c.GetRate()
 	depth := max(rate*burstTime.Seconds(), l.slack/float64(l.entries))
 	b.lastAsked = now
-	b.demand.add(now, cost)
+	b.demand.Add(now, cost)
 	b.level = min(b.level+rate*now.Sub(b.refilled).Seconds(), depth)
 	b.refilled = now
 	if b.level <= 0 {
@@ -149,7 +149,7 @@
 		if now.Sub(b.lastAsked) > staleTime {
 			continue
 		}
-		out = append(out, &wire.Usage{Customer: name, Demand: b.demand.valueAt(now), Used: b.used})
+		out = append(out, &wire.Usage{Customer: name, Demand: b.demand.ValueAt(now), Used: b.used})
 	}
 
 	return out
@@ -170,17 +170,20 @@
 	}
 }
 
-// movingRate is an exponentially weighted average of an amount per second.
-type movingRate struct {
+// MovingRate is an exponentially weighted average of an amount per second, over some
+// seconds.
+type MovingRate struct {
 	value   float64
 	updated time.Time
 }
 
-func (a *movingRate) add(now time.Time, n float64) {
-	a.value = a.valueAt(now) + n/demandWindow.Seconds()
+// Add adds an amount.
+func (a *MovingRate) Add(now time.Time, n float64) {
+	a.value = a.ValueAt(now) + n/demandWindow.Seconds()
 	a.updated = now
 }
 
-func (a *movingRate) valueAt(now time.Time) float64 {
+// ValueAt returns the amount per second.
+func (a *MovingRate) ValueAt(now time.Time) float64 {
 	return a.value * math.Exp(-now.Sub(a.updated).Seconds()/demandWindow.Seconds())
 }
--- a/internal/throttler/throttler.go
+++ b/internal/throttler/throttler.go
@@ -6,17 +6,15 @@
 
 import (
 	"cmp"
-	"math"
 	"slices"
 	"sync"
 	"time"
 
+	"github.com/damasklever/damasklever/internal/limiter"
 	"github.com/damasklever/damasklever/internal/wire"
 )
 
 const (
-	// demandWindow is the time over which demand and grants are averaged.
-	demandWindow = 2 * time.Second
 	// endReportTime is how long an entry reports a limit that has ended.
 	endReportTime = 5 * time.Second
 	// grantValidity is how long grants are used. After that, the control hosts are out of
@@ -55,8 +53,8 @@
 	grantAt  time.Time // of the last message of a control host; zero if there was none
 	level    float64   // of the own allowance, which is used without valid grants
 	refilled time.Time
-	demand   movingRate
-	grants   movingRate
+	demand   limiter.MovingRate
+	grants   limiter.MovingRate
 }
 
 // New returns a Throttler that knows no limits. entries returns the number of entries that
@@ -121,7 +119,7 @@
 	if s == nil || s.limit == 0 {
 		return true
 	}
-	s.demand.add(now, 1)
+	s.demand.Add(now, 1)
 
 	return t.allowance(now, s) >= 1
 }
@@ -141,7 +139,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if s := t.servers[server]; s != nil {
-		return s.grants.valueAt(now)
+		return s.grants.ValueAt(now)
 	}
 
 	return 0
@@ -212,7 +210,7 @@
 		}
 		t.setLimit(now, g.GetServer(), g.GetLimit(), now.Add(-ageOf(g.GetAge())))
 		s := t.servers[g.GetServer()]
-		s.grants.add(now, max(g.GetGranted()-s.granted, 0))
+		s.grants.Add(now, max(g.GetGranted()-s.granted, 0))
 		s.granted = g.GetGranted()
 		if g.GetUnknown() {
 			s.granted = s.used
@@ -231,7 +229,7 @@
 			continue
 		}
 		out = append(out, &wire.Throttle{
-			Server: server, Limit: s.limit, Age: min(now.Sub(s.answerAt), maxAge).Milliseconds(), Demand: s.demand.valueAt(now), Used: s.used,
+			Server: server, Limit: s.limit, Age: min(now.Sub(s.answerAt), maxAge).Milliseconds(), Demand: s.demand.ValueAt(now), Used: s.used,
 			Granted: s.granted,
 		})
 	}
@@ -261,21 +259,6 @@
 	}
 }
 
-// movingRate is an exponentially weighted average of a number per second.
-type movingRate struct {
-	value   float64
-	updated time.Time
-}
-
-func (r *movingRate) add(now time.Time, n float64) {
-	r.value = r.valueAt(now) + n/demandWindow.Seconds()
-	r.updated = now
-}
-
-func (r *movingRate) valueAt(now time.Time) float64 {
-	return r.value * math.Exp(-now.Sub(r.updated).Seconds()/demandWindow.Seconds())
-}
-
 // isValidAmount reports whether x is in the valid range. A faulty peer may send any number.
 func isValidAmount(x float64) bool { return x >= 0 && x <= maxAmount }
 
