correlator: let an answer end a series of silent checks, and forget idle servers

Operators might have seen: a server that missed one status request, answered for a while and missed another one would have counted as crashed. Found by reading.

Cause: the count of silent checks was reset by checks only. A server whose last abandoned request was forgotten also stayed in the map.

Evidence: correlator.TestTrackerAnswerBetweenSilentChecks failed before with "lost: got [{a a ...}], want none"; the map has no test.

After: the test passes.

--- a/internal/correlator/tracker.go
+++ b/internal/correlator/tracker.go
@@ -107,7 +107,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if sv := t.servers[s.server.ID]; sv != nil {
-		sv.heardAt = now
+		sv.heardAt, sv.silentChecks = now, 0
 	}
 	t.remove(s)
 }
@@ -159,7 +159,12 @@
 		if t.checking >= maxChecks {
 			break
 		}
-		if sv.checking || now.Before(sv.nextCheck) || !sv.inDoubt(now) {
+		if sv.checking || now.Before(sv.nextCheck) {
+			continue
+		}
+		if !sv.inDoubt(now) {
+			t.forgetIdle(sv)
+
 			continue
 		}
 		t.checking++
--- a/internal/correlator/tracker_test.go
+++ b/internal/correlator/tracker_test.go
@@ -153,6 +153,23 @@
 	}
 }
 
+// Guards against taking two checks that a server did not answer for one outage, if it has
+// answered a request in between.
+func TestTrackerAnswerBetweenSilentChecks(t *testing.T) {
+	tracker := correlator.NewTracker()
+	tracker.Start(start, server, "a", "a")
+	other := tracker.Start(start, server, "b", "b")
+	now := start.Add(time.Second)
+	tracker.Due(now)
+	tracker.Resolve(now, server.ID, correlator.Silent, time.Time{})
+	tracker.Answered(now.Add(time.Second), other)
+	now = now.Add(3 * time.Second)
+	tracker.Due(now)
+	if lost := tracker.Resolve(now, server.ID, correlator.Silent, time.Time{}); len(lost) > 0 {
+		t.Errorf("lost: got %v, want none", lost)
+	}
+}
+
 // Guards against checking all servers at the same time when this process is cut off.
 func TestTrackerLimitsChecks(t *testing.T) {
 	tracker := correlator.NewTracker()
