gateway: log an invalid notice in the answer to a status request

Found by reading the change as a newcomer: the limit in such an answer was read, and an error in it was dropped. Also a comment wrapped and a test named after what it guards. No decision changes.

After: tests of gateway, correlator and controller pass.

--- a/internal/controller/quotas.go
+++ b/internal/controller/quotas.go
@@ -159,8 +159,8 @@
 	return out
 }
 
-// totalUsed returns an entry's usage summed over all customers and servers. Usage accumulates, apart
-// from refunds, so the report with the higher total is taken for the later one.
+// totalUsed returns an entry's usage summed over all customers and servers. Usage
+// accumulates, apart from refunds, so the report with the higher total is taken for the later one.
 func totalUsed(q *wire.Quota) float64 {
 	sum := 0.0
 	for _, u := range q.GetUsages() {
--- a/internal/gateway/crash_reporter.go
+++ b/internal/gateway/crash_reporter.go
@@ -152,7 +152,11 @@
 		return stateOf(err), ServerStatus{}, errors.Newf("request status of %s: %w", s.ID, err)
 	}
 	defer func() { _ = response.Body.Close() }()
-	c.g.observeLimit(s.ID, c.g.s.Dialect.Notice(response.Status, response.Header).Limit, time.Time{})
+	notice := c.g.s.Dialect.Notice(response.Status, response.Header)
+	if notice.Fault != nil {
+		c.g.s.Log.Warn().Str("server", s.ID).Err(notice.Fault).Msg("invalid server notice")
+	}
+	c.g.observeLimit(s.ID, notice.Limit, time.Time{})
 	body, err := readBody(response)
 	if err != nil {
 		return stateOf(err), ServerStatus{}, errors.Newf("read status of %s: %w", s.ID, err)
--- a/internal/gateway/server_end_test.go
+++ b/internal/gateway/server_end_test.go
@@ -253,8 +253,8 @@
 	checkReports(t, l, 1)
 }
 
-// Blame of a ledger without control hosts must not keep the gateway from closing.
-func TestCloseWithoutLedger(t *testing.T) {
+// Guards against a report of a crash that keeps the gateway from closing.
+func TestCloseDuringReport(t *testing.T) {
 	l := &stuckLedger{entered: make(chan struct{})}
 	s := newEndingServer(t, "ending", endsForGood)
 	r := newTestGatewayWith(t, func(x *gateway.Settings) { x.CrashLedger = l }, s.server(placer.Plain))
