--- a/internal/correlator/tracker_test.go
+++ b/internal/correlator/tracker_test.go
@@ -46,8 +46,7 @@
 	}
 }
 
-// Tests when a server is checked, and which requests are lost if it is gone or has started
-// again.
+// Guards against a crash that no check finds, and against losing requests of a sound server.
 func TestTracker(t *testing.T) {
 	const ms = time.Millisecond
 	for name, test := range map[string]struct {
@@ -121,8 +120,7 @@
 	return out
 }
 
-// Guards against taking one lost status request for a crash, and against waiting forever for
-// a server that answers none.
+// Guards against taking one lost status request for a crash.
 func TestTrackerSilentServer(t *testing.T) {
 	for name, test := range map[string]struct {
 		second correlator.State
@@ -153,8 +151,7 @@
 	}
 }
 
-// Guards against taking two checks that a server did not answer for one outage, if it has
-// answered a request in between.
+// Guards against counting two checks without an answer as one outage.
 func TestTrackerAnswerBetweenSilentChecks(t *testing.T) {
 	tracker := correlator.NewTracker()
 	tracker.Start(start, server, "a", "a")
--- a/internal/gateway/server_end_test.go
+++ b/internal/gateway/server_end_test.go
@@ -172,8 +172,7 @@
 	}
 }
 
-// Guards against a server's end that is not counted because it broke off in the middle of an
-// answer that is too long to buffer.
+// Guards against forgetting a server's end in an answer that is too long to buffer.
 func TestServerEndInLongAnswerIsCounted(t *testing.T) {
 	l := &fakeLedger{}
 	b := newBackend(t, "ending", nil)
@@ -212,8 +211,7 @@
 	checkReports(t, l, 1)
 }
 
-// Guards against cutting the list of lost requests before those that have run well are left
-// out.
+// Guards against popular requests that crowd out the one that crashes servers.
 func TestServerEndUnderManyRequests(t *testing.T) {
 	const popular = 200
 	l := &fakeLedger{}
--- a/internal/gateway/throttle_test.go
+++ b/internal/gateway/throttle_test.go
@@ -40,8 +40,7 @@
 	return r, limits
 }
 
-// Guards against a limit that is missed because of the kind of answer that names it, and
-// against requests that are not counted because of what they are for.
+// Guards against kinds of answers whose limit is missed, and of requests that are not counted.
 func TestLimitOfServer(t *testing.T) {
 	for name, test := range map[string]struct {
 		path    string
@@ -93,8 +92,7 @@
 	}
 }
 
-// Guards against refusing a request that a server would take a moment later, and against
-// holding requests that it will not take.
+// Guards against refusing what a server takes a moment later, and holding what it does not.
 func TestWaitForLimitedServer(t *testing.T) {
 	b := newBackend(t, "limited", func(w http.ResponseWriter, _ *http.Request) {
 		w.Header().Set(limitHeader, "2")
@@ -143,8 +141,7 @@
 	}
 }
 
-// Guards against keeping a limit that the server no longer names, and against ending it
-// because of an answer of another kind.
+// Guards against a limit that does not end, or that ends with another kind of answer.
 func TestEndOfLimit(t *testing.T) {
 	for name, test := range map[string]struct {
 		handler http.HandlerFunc
--- a/internal/throttler/throttler_test.go
+++ b/internal/throttler/throttler_test.go
@@ -126,8 +126,7 @@
 // counts them.
 func allowed(limit float64) int { return int(1.5*limit*window.Seconds() + 5) }
 
-// Guards against more requests than a server takes from all entries together, and against
-// leaving its limit unused.
+// Guards against exceeding a limit at all entries together, and against leaving it unused.
 func TestLimitIsKept(t *testing.T) {
 	for name, test := range map[string]struct {
 		entries int
@@ -205,8 +204,7 @@
 	s.run(10*time.Second, func(int) float64 { return 5 })
 }
 
-// Guards against refusing requests that a server would take, where there are fewer than its
-// limit.
+// Guards against refusing requests where there are fewer than the limit.
 func TestLowDemandIsServed(t *testing.T) {
 	s := newSimulation(1, 8, 20)
 	s.run(10*time.Second, func(int) float64 { return 1 })
@@ -217,8 +215,7 @@
 	}
 }
 
-// Guards against limiting a server for good, at entries that have heard of the end and at
-// those that have not.
+// Guards against limiting a server for good.
 func TestLimitEnds(t *testing.T) {
 	s := newSimulation(1, 8, 2)
 	s.run(10*time.Second, func(int) float64 { return 3 })
@@ -308,8 +305,7 @@
 	}
 }
 
-// Guards against keeping the limits of servers that are gone, and against losing those of
-// servers that are missing from one list only.
+// Guards against keeping the limits of servers that are gone, and losing those of others.
 func TestRetain(t *testing.T) {
 	throttle := throttler.New(func() int { return 1 })
 	throttle.Observe(start, server, 2)
