--- a/internal/grantclient/grantclient_test.go
+++ b/internal/grantclient/grantclient_test.go
@@ -344,3 +344,12 @@
 	}
 	g.Release()
 }
+
+// Guards against a limit that a server names to its agent alone, and against one kept after its end.
+func TestLimitNamedToAgent(t *testing.T) {
+	p := newFixture(t)
+	for _, want := range []float64{2.5, 0} {
+		p.source.set(func(r *grantserver.Report) { r.Limit = want }, nil)
+		waitFor(t, "the limit", func() bool { return p.grantclient.Limited()["s"].Limit == want })
+	}
+}
