grantserver: grant nothing while a server changes its phase

Callers saw slower first tokens: the decode server processed the prompt after a prefill server had refused it.

Cause: control orders prefill servers to decode when there is more work for these. Such a server refuses all new prompts until it is back some seconds later. Its agent reads in each report that an order is in progress, ignored it and went on granting turns. A send with a granted turn is not checked against the retry budget, since a server whose agent grants accepts. Each refusal is a repeated arrival. Class of fault: an authority for a resource that does not watch what ends the resource.

Change: the agent refuses waiting and new asks while an order is in progress, tells the entries so, and starts a new queue afterwards.

--- a/internal/grantclient/grantclient_test.go
+++ b/internal/grantclient/grantclient_test.go
@@ -353,3 +353,41 @@
 		waitFor(t, "the limit", func() bool { return p.grantclient.Limited()["s"].Limit == want })
 	}
 }
+
+// Guards against grants of a server that refuses all requests because it is changing its phase.
+func TestNoGrantsDuringPhaseChange(t *testing.T) {
+	for name, after := range map[string]grantserver.Phase{
+		"changed": grantserver.Prefill, "not changed": grantserver.Decode,
+	} {
+		t.Run(name, func(t *testing.T) {
+			p := newFixture(t)
+			p.source.set(func(r *grantserver.Report) { r.Limit = 2.5 }, nil)
+			p.mustAsk(t, ask("full", 0, 1500, testTimeout))
+			next := make(chan error, 1)
+			go func() {
+				_, err := p.grantclient.Ask(context.WithoutCancel(t.Context()), ask("next", 0, 1500, testTimeout), []string{"s"})
+				next <- err
+			}()
+			waitFor(t, "the next ask", func() bool { load, _ := p.grantclient.Load("s"); return load.Queued == 1 })
+			p.source.set(func(r *grantserver.Report) { r.ChangingStage = true }, nil)
+			waitFor(t, "the phase change to be noticed", func() bool { load, _ := p.grantclient.Load("s"); return load.Leaving })
+			var refused *grantclient.RefusedError
+			if err := <-next; !errors.As(err, &refused) {
+				t.Errorf("waiting ask: got %v, want a refusal", err)
+			}
+			if _, err := p.ask(t, ask("during", 0, 1, testTimeout)); !errors.As(err, &refused) {
+				t.Errorf("ask during the change: got %v, want a refusal", err)
+			}
+			if got, want := p.grantclient.Limited()["s"].Limit, 2.5; got != want {
+				t.Errorf("limit during the change: got %g, want %g", got, want)
+			}
+			p.source.set(func(r *grantserver.Report) { r.ChangingStage, r.Phase = false, after }, nil)
+			waitFor(t, "the end of the change", func() bool { load, _ := p.grantclient.Load("s"); return !load.Leaving && load.Free > 0 })
+			a := ask("after", 0, 1, testTimeout)
+			if after == grantserver.Prefill {
+				a.Phase = wire.Phase_PHASE_PREFILL
+			}
+			p.mustAsk(t, a)
+		})
+	}
+}
--- a/internal/grantserver/client.go
+++ b/internal/grantserver/client.go
@@ -118,6 +118,9 @@
 	if gs.granter == nil || gs.down || gs.leaving || gs.report.Leaving {
 		return &wire.Load{Leaving: true}
 	}
+	if gs.report.ChangingStage {
+		return &wire.Load{Leaving: true, Limit: gs.report.Limit}
+	}
 	in := gs.granter.Load(gs.s.Timer.Now())
 	out := &wire.Load{Total: int64(in.Total), Free: int64(in.Free), Limit: gs.report.Limit}
 	if gs.report.Phase == Decode {
--- a/internal/grantserver/grantserver.go
+++ b/internal/grantserver/grantserver.go
@@ -21,7 +21,7 @@
 // Reasons for a refusal, in addition to those of the granter.
 const (
 	reasonDown  = "down"  // the backend server does not answer
-	reasonPhase = "phase" // the backend server runs another phase
+	reasonPhase = "phase" // the backend server runs another phase, or is changing to one
 )
 
 // tick is the interval between checks for expired asks and grants.
@@ -169,7 +169,7 @@
 		return reasonDown
 	case gs.leaving || gs.report.Leaving:
 		return granter.ReasonDrain
-	case gs.report.Phase != want:
+	case gs.report.Phase != want || gs.report.ChangingStage:
 		return reasonPhase
 	}
 
--- a/internal/grantserver/settings.go
+++ b/internal/grantserver/settings.go
@@ -32,6 +32,8 @@
 	// StartID differs for each start of the server.
 	StartID int64
 	Leaving bool
+	// ChangingStage is set while the server changes its phase. It refuses new requests then.
+	ChangingStage bool
 	// Limit is the number of requests per second that the server takes in all, 0 if it names
 	// none.
 	Limit float64
--- a/internal/grantserver/watch.go
+++ b/internal/grantserver/watch.go
@@ -61,9 +61,15 @@
 	gs.lastReportAt = now
 	previous := gs.report
 	gs.report = r
-	if gs.granter == nil || gs.down || r.StartID != previous.StartID || r.Phase != previous.Phase || r.Total != previous.Total {
+	changed := previous.ChangingStage && !r.ChangingStage
+	if gs.granter == nil || gs.down || r.StartID != previous.StartID || r.Phase != previous.Phase || r.Total != previous.Total || changed {
 		gs.resetGranter(now)
 	}
+	if r.ChangingStage && !previous.ChangingStage {
+		gs.s.Log.Info().Str("phase", string(r.Phase)).Msg("server is changing its phase")
+		gs.refuseWaiting(now)
+		gs.pushAll(now, true)
+	}
 	gs.updateUngranted(now, previous)
 	if r.Fault != nil && previous.Fault == nil {
 		gs.s.Log.Warn().Err(r.Fault).Msg("invalid server notice")
