gateway: charge the retry budget before a prompt is sent, not after its refusal

Cause: a prompt may be sent to a prefill server at no charge if the server accepts it. The room in the retry budget was looked at before the send and charged after the refusal, so all sends in flight at an entry passed on the same room. Sends with a granted turn were not checked at all, whatever had been charged. Class of fault: check then act, on a limit that many processes share.

Change: each send that may turn out to be a retry takes its room in advance and gets it back if it was accepted or not sent. Granted sends take none in advance until a server has refused one; from then on they do, for the length of the budget's window. What can be refused beyond the budget is what was granted and in flight at the first refusal: at most two prompts for each prefill server, over all entries.

Ruled out: taking room in advance for granted sends too. An entry of a large fleet has room for one or two sends, so that every other prompt would be processed by its decode server at half the speed.

Tests: gateway.TestRefusedPrefillsUseRetryBudget had one case, in turn without grants. With the two new ones 27 and 40 of 40 prompts were refused (at most 8 wanted); now they pass. TestAcceptedPrefillsUseNoRetryBudget guards the other side.

--- a/internal/admitter/budget.go
+++ b/internal/admitter/budget.go
@@ -27,12 +27,6 @@
 // First counts the first send of a request.
 func (b *Budget) First(now time.Time) { b.firstSends.add(now, 1, b.window) }
 
-// Available reports whether the budget has room, without taking anything. It serves
-// sends of which it is known only later whether they are repeated ones.
-func (b *Budget) Available(now time.Time) bool {
-	return b.extraSends.current(now, b.window) < b.allowed(now)
-}
-
 func (b *Budget) allowed(now time.Time) float64 {
 	return math.Max(b.minimum, b.fraction*b.firstSends.current(now, b.window))
 }
@@ -50,3 +44,10 @@
 
 	return true
 }
+
+// Refund gives back what was taken at the given time, for a send that turned out not to be
+// a repeated one.
+func (b *Budget) Refund(now, taken time.Time) {
+	left := math.Exp(-now.Sub(taken).Seconds() / b.window.Seconds())
+	b.extraSends.add(now, -min(left, b.extraSends.current(now, b.window)), b.window)
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -41,10 +41,11 @@
 	closeOnce sync.Once
 	tasks     sync.WaitGroup
 
-	mu           sync.Mutex
-	retryBudgets map[string]*admitter.Budget // retry budgets by pool
-	bounds       bounds                      // of the current HTTP server
-	servers      []*http.Server
+	mu            sync.Mutex
+	retryBudgets  map[string]*admitter.Budget // retry budgets by pool
+	grantRefusals map[string]time.Time        // last refusal of a granted prompt by pool
+	bounds        bounds                      // of the current HTTP server
+	servers       []*http.Server
 }
 
 // New validates the settings and registers the metrics. The gateway accepts no callers
@@ -56,7 +57,8 @@
 	}
 	g := &Gateway{
 		s: s, metrics: newMetrics(), done: make(chan struct{}), retryBudgets: make(map[string]*admitter.Budget),
-		acceptDone: make(chan struct{}), conns: newConnTracker(), backlog: newBacklog(),
+		grantRefusals: make(map[string]time.Time),
+		acceptDone:    make(chan struct{}), conns: newConnTracker(), backlog: newBacklog(),
 		grantWaiters: grantWaiters{count: make(map[string]int)},
 	}
 	if err := registry.Register(g.metrics); err != nil {
@@ -207,19 +209,35 @@
 	return g.retryBudget(pool).Take(g.s.Timer.Now())
 }
 
-// hasRetryBudget reports whether the budget of a pool has room for a retry.
-func (g *Gateway) hasRetryBudget(pool string) bool {
+// chargeRetry charges a retry to the budget of a pool, even if the budget is used up.
+func (g *Gateway) chargeRetry(pool string) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	g.retryBudget(pool).CountExtra(g.s.Timer.Now())
+}
 
-	return g.retryBudget(pool).Available(g.s.Timer.Now())
+// refundRetry gives back a retry that was taken at the given time from the budget of a pool.
+func (g *Gateway) refundRetry(pool string, taken time.Time) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.retryBudget(pool).Refund(g.s.Timer.Now(), taken)
 }
 
-// chargeRetry charges a retry to the budget of a pool, even if the budget is used up.
-func (g *Gateway) chargeRetry(pool string) {
+// trustsGrants reports whether granted prompts of a pool may be sent without room in the
+// retry budget: no server has refused one within the window of the budget.
+func (g *Gateway) trustsGrants(pool string) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.retryBudget(pool).CountExtra(g.s.Timer.Now())
+	at, refused := g.grantRefusals[pool]
+
+	return !refused || g.s.Timer.Now().Sub(at) >= g.s.RetryWindow
+}
+
+// noteGrantRefused records that a server has refused a granted prompt of a pool.
+func (g *Gateway) noteGrantRefused(pool string) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.grantRefusals[pool] = g.s.Timer.Now()
 }
 
 func (g *Gateway) retryBudget(pool string) *admitter.Budget {
--- a/internal/gateway/notice_test.go
+++ b/internal/gateway/notice_test.go
@@ -3,6 +3,7 @@
 import (
 	"io"
 	"net/http"
+	"sync"
 	"testing"
 	"time"
 
@@ -78,26 +79,67 @@
 	}
 }
 
-// Guards against unlimited sends to prefill servers that refuse. Each refusal counts as a
-// retry, so the retry budget of the pool limits them, and the decode server processes the
-// prompts itself.
+// Guards against unlimited sends to prefill servers that refuse, in turn or all in flight at the same
+// time, with granted turns or without.
 func TestRefusedPrefillsUseRetryBudget(t *testing.T) {
-	const requests = 40
+	const requests, slack, ratio = 40, 8, 0.1
+	for name, test := range map[string]struct {
+		agents     gateway.Agents
+		concurrent bool
+		want       int
+	}{
+		"in turn":          {nil, false, slack},
+		"at the same time": {nil, true, slack},
+		"granted":          {&fakeAgents{}, false, slack},
+	} {
+		t.Run(name, func(t *testing.T) {
+			decode := newBackend(t, "d", respondWith(http.StatusOK, "id: 1\n\n"))
+			prefill := newBackend(t, "p", func(w http.ResponseWriter, r *http.Request) {
+				if test.concurrent {
+					// Long enough for all requests to have arrived.
+					<-time.After(300 * time.Millisecond)
+				}
+				refuseRequest(w, r)
+			})
+			r := newTestGatewayWith(t, func(s *gateway.Settings) { s.RetrySlack, s.RetryRatio, s.Agents = slack, ratio, test.agents },
+				decode.server(placer.Decode), prefill.server(placer.Prefill))
+			call := func() {
+				got := r.call(t, http.MethodPost, "/stream/", "body", http.Header{"Prompt": {"50000"}})
+				if got.status != http.StatusOK {
+					t.Errorf("status: got %d, want 200", got.status)
+				}
+				// The placer's penalty for a server that refused would hide the effect of the
+				// budget.
+				r.placer.RecordSuccess("p")
+			}
+			var callers sync.WaitGroup
+			for range requests {
+				if test.concurrent {
+					callers.Go(call)
+				} else {
+					call()
+				}
+			}
+			callers.Wait()
+			if got := len(prefill.arrivals()); got > test.want || got == 0 {
+				t.Errorf("refused prefills: got %d, want 1 to %d", got, test.want)
+			}
+		})
+	}
+}
+
+// Guards against charging the retry budget for prompts that prefill servers accept.
+func TestAcceptedPrefillsUseNoRetryBudget(t *testing.T) {
 	decode := newBackend(t, "d", respondWith(http.StatusOK, "id: 1\n\n"))
-	prefill := newBackend(t, "p", refuseRequest)
-	r := newTestGatewayWith(t, func(s *gateway.Settings) { s.RetrySlack, s.RetryRatio = 8, 0.1 },
+	prefill := newBackend(t, "p", respondWith(http.StatusOK, "handle"))
+	r := newTestGatewayWith(t, func(s *gateway.Settings) { s.RetrySlack, s.RetryRatio = 2, 0.0001 },
 		decode.server(placer.Decode), prefill.server(placer.Prefill))
+	const requests = 20
 	for range requests {
-		got := r.call(t, http.MethodPost, "/stream/", "body", http.Header{"Prompt": {"50000"}})
-		if got.status != http.StatusOK {
-			t.Fatalf("status: got %d, want 200", got.status)
-		}
-		// The placer's penalty for a server that refused would hide the effect of the
-		// budget.
-		r.placer.RecordSuccess("p")
+		r.call(t, http.MethodPost, "/stream/", "body", http.Header{"Prompt": {"50000"}})
 	}
-	if got, want := len(prefill.arrivals()), 8; got > want || got == 0 {
-		t.Errorf("refused prefills: got %d, want 1 to %d", got, want)
+	if got := len(prefill.arrivals()); got != requests {
+		t.Errorf("accepted prefills: got %d, want %d", got, requests)
 	}
 }
 
--- a/internal/gateway/prefill.go
+++ b/internal/gateway/prefill.go
@@ -17,11 +17,9 @@
 func (f *forwarder) prefillRemotely(p *placement) string {
 	s, started := p.choice.Prefill, f.g.s.Timer.Now()
 	defer f.g.s.Placer.EndRequest(s.ID)
-	handle, err := "", error(nil)
-	if f.mayPrefill(p.prefill != nil) {
-		handle, err = f.prefill(s)
-	} else {
-		err = errRetryBudget
+	handle, err := "", errRetryBudget
+	if charge, ok := f.chargePrefill(p.prefill != nil); ok {
+		handle, err = f.prefill(s, charge)
 	}
 	switch {
 	case p.prefill == nil:
@@ -40,23 +38,45 @@
 // errRetryBudget is returned for a send that the retry budget of its pool does not allow.
 var errRetryBudget = errors.New("the retry budget is used up")
 
-// mayPrefill reports whether the prompt may be sent to a prefill server. Only the first such
-// send that a server accepts is not charged to the retry budget. A server whose agent has
-// granted a turn accepts. Any other one may refuse, as many do at the same time when they
-// are full, and each refusal counts as a retry.
-func (f *forwarder) mayPrefill(granted bool) bool {
-	if f.prefills > 0 {
-		return f.g.takeRetry(f.pool)
+// prefillCharge is what one send of a prompt to a prefill server has been charged to the
+// retry budget.
+type prefillCharge struct {
+	taken   bool
+	takenAt time.Time
+	granted bool // the server's agent has granted a turn
+}
+
+// chargePrefill charges the retry budget for sending the prompt to a prefill server. It
+// returns false if the budget does not allow the send. Only the first such send that a
+// server accepts is not a retry, and which one that is is known only afterwards: each send
+// takes its room in advance, or all sends in flight could be refused beyond the budget. A
+// send with a granted turn is accepted unless something is wrong, so it takes none in
+// advance until one is refused.
+func (f *forwarder) chargePrefill(granted bool) (prefillCharge, bool) {
+	charge := prefillCharge{granted: granted}
+	if granted && f.prefills == 0 && f.g.trustsGrants(f.pool) {
+		return charge, true
 	}
+	charge.taken, charge.takenAt = f.g.takeRetry(f.pool), f.g.s.Timer.Now()
 
-	return granted || f.g.hasRetryBudget(f.pool)
+	return charge, charge.taken
 }
 
-// countPrefill charges the retry budget for a send that a prefill server did not accept,
-// unless mayPrefill has already charged it.
-func (f *forwarder) countPrefill(accepted bool, err error) {
-	if f.prefills == 0 && !accepted && !errors.Is(err, requester.ErrNotSent) {
+// settlePrefill corrects the charge for a send once it is known whether the server has
+// accepted the prompt.
+func (f *forwarder) settlePrefill(charge prefillCharge, accepted bool, err error) {
+	retry := f.prefills > 0 || !accepted
+	if errors.Is(err, requester.ErrNotSent) {
+		retry = false
+	}
+	switch {
+	case retry && !charge.taken:
 		f.g.chargeRetry(f.pool)
+	case !retry && charge.taken:
+		f.g.refundRetry(f.pool, charge.takenAt)
+	}
+	if retry && !accepted && charge.granted {
+		f.g.noteGrantRefused(f.pool)
 	}
 	if accepted {
 		f.prefills++
@@ -74,12 +94,12 @@
 
 // prefill has a server process the prompt and returns the handle under which the server
 // keeps the result.
-func (f *forwarder) prefill(s *placer.Server) (string, error) {
+func (f *forwarder) prefill(s *placer.Server, charge prefillCharge) (string, error) {
 	ctx, cancel := context.WithCancelCause(f.ctx)
 	defer cancel(nil)
 	defer f.g.s.Timer.After(prefillTimeoutFactor*f.prefillTime()+firstEventOverhead, func(time.Time) { cancel(errPrefillTimeout) })()
 	response, err := f.send(ctx, s, Attempt{Server: s.ID, Prefill: true})
-	f.countPrefill(err == nil && response.Status == http.StatusOK, err)
+	f.settlePrefill(charge, err == nil && response.Status == http.StatusOK, err)
 	if err != nil {
 		f.markFailed(s, err)
 
