Keep the parts of the retry slack small while the number of entries is uncertain

Cause: each entry uses its part of a common slack, by the number of entries that its control host has named last. A host that has just started, lost its disk or is cut off names few entries or none. When the number falls, the parts grow at once, although those that have left have used theirs in the same window. Class of fault: a part of a sum by a count that is late.

Change: an entry takes the number only from a host that hears from a majority and is not behind the entry's own view. The budget uses the highest number of its window, and has no part of the slack while the number is unknown.

What bounds the sum: each entry of the last window was counted by all others for the rest of it, but for those that have joined since the last pulse. n entries and k that joined within a pulse have at most slack * (1 + k/n) / 2.

Tests: gateway.TestBudgetWhileGatewayCountChanges failed before (fallen: 5 retries, want 0), subscriber.TestEntriesOfHostThatIsBehind too (7, 0 and 7 entries, want 9).

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -44,7 +44,8 @@
 	mu            sync.Mutex
 	retryBudgets  map[string]*admitter.Budget // retry budgets by pool
 	grantRefusals map[string]time.Time        // last refusal of a granted prompt by pool
-	bounds        bounds                      // of the current HTTP server
+	gatewayCount  recentMax
+	bounds        bounds // of the current HTTP server
 	servers       []*http.Server
 }
 
@@ -246,16 +247,44 @@
 		b = admitter.NewBudget(0, 0, g.s.RetryWindow)
 		g.retryBudgets[pool] = b
 	}
-	gateways := 1
-	if g.s.GatewayCount != nil {
-		gateways = g.s.GatewayCount()
+	b.Configure(g.s.RetryRatio*retryBudgetMargin, g.slackShare()*retryBudgetMargin)
+
+	return b
+}
+
+// slackShare returns this gateway's part of the retry slack. The number of gateways is the
+// highest of the budget's window, because those that have left have used their parts too.
+// There is no part while the number is unknown. The caller must hold mu.
+func (g *Gateway) slackShare() float64 {
+	if g.s.GatewayCount == nil {
+		return g.s.RetrySlack
 	}
+	gateways := g.gatewayCount.observe(g.s.Timer.Now(), g.s.RetryWindow, g.s.GatewayCount())
 	if gateways <= 0 {
-		gateways = unknownGateways
+		return 0
 	}
-	b.Configure(g.s.RetryRatio*retryBudgetMargin, g.s.RetrySlack*retryBudgetMargin/float64(gateways))
 
-	return b
+	return g.s.RetrySlack / float64(gateways)
+}
+
+// recentMax is the maximum of a value over the last one to two windows.
+type recentMax struct {
+	current, previous int
+	started           time.Time // of the window of current
+}
+
+// observe records a value and returns the maximum.
+func (m *recentMax) observe(now time.Time, window time.Duration, value int) int {
+	if age := now.Sub(m.started); age >= window {
+		m.previous = m.current
+		if age >= 2*window {
+			m.previous = 0
+		}
+		m.current, m.started = 0, now
+	}
+	m.current = max(m.current, value)
+
+	return max(m.current, m.previous)
 }
 
 func randomFraction() float64 { return rand.Float64() } //nolint:gosec // not used for security
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -8,6 +8,7 @@
 	"runtime"
 	"slices"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -496,3 +497,31 @@
 
 	return n
 }
+
+// Guards against a larger part of the retry slack while the number of gateways is unknown or has just fallen.
+func TestBudgetWhileGatewayCountChanges(t *testing.T) {
+	for name, test := range map[string]struct {
+		before, after int
+		want          int // retries after the change
+	}{
+		"unknown": {0, 0, 0}, "fallen": {100, 1, 0}, "lost": {100, 0, 0}, "risen": {1, 100, 0}, "steady": {1, 1, 5},
+	} {
+		t.Run(name, func(t *testing.T) {
+			var gateways atomic.Int64
+			gateways.Store(int64(test.before))
+			a, b := newBackend(t, "a", breakConnection), newBackend(t, "b", breakConnection)
+			r := newTestGatewayWith(t, func(s *gateway.Settings) {
+				s.RetryRatio, s.RetrySlack, s.GatewayCount = 0.0001, 10, func() int { return int(gateways.Load()) }
+			}, a.server(placer.Plain), b.server(placer.Plain))
+			// A request that may not be repeated shows the number to the budget.
+			r.call(t, http.MethodPost, "/once/x", "", nil)
+			gateways.Store(int64(test.after))
+			for range 8 {
+				r.call(t, http.MethodGet, "/read/x", "", nil)
+			}
+			if got := countRequests(a, "/read/") + countRequests(b, "/read/") - 8; got != test.want {
+				t.Errorf("retries: got %d, want %d", got, test.want)
+			}
+		})
+	}
+}
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -48,8 +48,8 @@
 	RetryRatio  float64
 	RetrySlack  float64
 	RetryWindow time.Duration
-	// GatewayCount returns the number of gateways that share RetrySlack, 0 if unknown;
-	// nil if this is the only one.
+	// GatewayCount returns the number of gateways that share RetrySlack, 0 if unknown, in
+	// which case this one has no part of it; nil if this is the only one.
 	GatewayCount func() int
 	// StartupWait is how long a request waits for the first plan and the first list of
 	// servers. After a restart of all processes they arrive as soon as a leader is elected,
@@ -76,10 +76,7 @@
 	defaultRetrySlack = 20
 	// retryBudgetMargin keeps all gateways together below the limit: their counters decay
 	// exponentially, so a full window may hold 1.7 times as many retries.
-	retryBudgetMargin = 0.5
-	// unknownGateways is the assumed number of gateways until a control host has reported
-	// it.
-	unknownGateways    = 30
+	retryBudgetMargin  = 0.5
 	defaultRetryWindow = 10 * time.Second
 	defaultRetryAfter  = 200 * time.Millisecond
 	// defaultNoServerRetryAfter is how far the host list lags behind servers that have come
--- a/internal/subscriber/subscriber.go
+++ b/internal/subscriber/subscriber.go
@@ -158,7 +158,7 @@
 }
 
 // Entries returns the number of entry processes according to the last pulse from a
-// control host, 0 before the first one.
+// control host that was up to date, 0 before the first one.
 func (s *Subscriber) Entries() int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -382,7 +382,11 @@
 // handlePulse checks that the host is in contact with a quorum and that the view
 // keeps up with the host. The caller must hold s.mu.
 func (s *Subscriber) handlePulse(l *link, p *wire.Pulse) {
-	s.entryCount = int(p.GetEntries())
+	lease := time.Duration(p.GetLease()) * time.Millisecond
+	// A host that is starting or cut off has registered only some of the entries, or none.
+	if p.GetEntries() > 0 && lease <= s.s.StaleAfter && p.GetIndex() >= s.View().Index() {
+		s.entryCount = int(p.GetEntries())
+	}
 	if p.GetAllotted() {
 		s.s.SetAllotments(s.entryCount, p.GetAllotments())
 		s.s.SetGrants(p.GetGrants())
@@ -390,7 +394,6 @@
 	if len(p.GetHosts()) > 0 {
 		s.updateHosts(p.GetHosts())
 	}
-	lease := time.Duration(p.GetLease()) * time.Millisecond
 	if lease > s.s.StaleAfter {
 		s.disconnect(l, "host has had no contact with a quorum for more than "+s.s.StaleAfter.String())
 
--- a/internal/subscriber/subscriber_test.go
+++ b/internal/subscriber/subscriber_test.go
@@ -380,3 +380,33 @@
 		})
 	}
 }
+
+// Guards against a number of entries that a control host names which has no state yet or lags behind.
+func TestEntriesOfHostThatIsBehind(t *testing.T) {
+	for name, test := range map[string]struct {
+		pulse *wire.Pulse
+		want  int
+	}{
+		"up to date": {&wire.Pulse{Index: 5, Entries: 7}, 7},
+		"ahead":      {&wire.Pulse{Index: 6, Entries: 7}, 7},
+		"none":       {&wire.Pulse{Index: 5}, 9},
+		"behind":     {&wire.Pulse{Index: 4, Entries: 7}, 9},
+		"cut off":    {&wire.Pulse{Index: 5, Entries: 7, Lease: time.Hour.Milliseconds()}, 9},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := newFakeControl()
+				sub, clock := start(t, settings(c, "a:1", "b:1"))
+				one := c.nextAttachment(clock)
+				one.update(rankUpdate(5, true))
+				for _, p := range []*wire.Pulse{{Index: 5, Entries: 9}, test.pulse} {
+					_ = one.Send(&wire.Notice{Body: &wire.Notice_Pulse{Pulse: p}})
+					synctest.Wait()
+				}
+				if got := sub.Entries(); got != test.want {
+					t.Errorf("entries: got %d, want %d", got, test.want)
+				}
+			})
+		})
+	}
+}
