gateway: log the shared segments of the prompts of sends that fail

The line 'sent' has the digest of a request, which is different for all requests that share a part of a prompt. It now names the parts that a prompt shares with others, so that the sends with a part that crashes servers can be told from the rest.

--- a/internal/gateway/dialect.go
+++ b/internal/gateway/dialect.go
@@ -19,6 +19,9 @@
 	// Prompt is the number of prompt tokens of a model request, and MaxOutputTokens the maximum
 	// number of its output tokens.
 	Prompt, MaxOutputTokens int
+	// Segments identify the segments of the prompt that it shares with other requests, in
+	// order.
+	Segments []string
 	// OutputEstimate is the caller's estimate of the number of output tokens, which is often
 	// far off; 0 if it gives none.
 	OutputEstimate int
--- a/internal/gateway/response.go
+++ b/internal/gateway/response.go
@@ -164,7 +164,7 @@
 		entry = entry.Str("prefill", c.Prefill.ID)
 	}
 	if o != outcomeAnswered {
-		entry = entry.Str("digest", f.digest)
+		entry = entry.Str("digest", f.digest).Strs("segments", f.hints.Segments)
 	}
 	if err != nil && o != outcomeCallerGone {
 		entry = entry.Err(err)
