Block parts of prompts that crash servers

Requests with one part of their prompts in common crash each server that begins to write an answer; no two of them are alike, and they come at any entry.

Cause: a request that crashes servers was known by the digest of its caller, target and body. No two of these requests have the same one, so nothing was counted against them. Class of fault: an identity that is narrower than the cause.

Change: entries report the shared segments of the prompts that were on a server when it crashed. All entries know which segments are suspected, and clear those with which a request is answered well, blocked or not. A whole answer only clears segments if its end is marked, since the end of a connection may be that of the server.

Requests with a blocked segment are refused at once with the time left, at each step: a prompt read apart and a second send count as well.

Ruled out: blocking callers, first segments or paths, which would refuse sound requests.

--- a/internal/correlator/successes_test.go
+++ b/internal/correlator/successes_test.go
@@ -52,7 +52,7 @@
 func lostAt(at time.Time, digests ...string) []correlator.Lost {
 	var out []correlator.Lost
 	for _, d := range digests {
-		out = append(out, correlator.Lost{Digest: d, At: at})
+		out = append(out, correlator.Lost{Work: correlator.Work{Digest: d}, At: at})
 	}
 
 	return out
--- a/internal/correlator/tracker.go
+++ b/internal/correlator/tracker.go
@@ -42,11 +42,18 @@
 	Silent
 )
 
+// Work identifies a request.
+type Work struct {
+	Digest, ID string
+	// Segments are the segments of its prompt that it shares with other requests, in order.
+	Segments []string
+}
+
 // Send is a request that was sent to a server, until its answer has ended. Its fields other
 // than heardAfter are guarded by the mutex of the Tracker.
 type Send struct {
 	server     Server
-	digest, id string
+	work       Work
 	sentAt     time.Time
 	heardAfter atomic.Int64 // time from sentAt to the last part of the answer, in nanoseconds; 0 if there is none
 	endedAt    time.Time    // when it ended without its whole answer, zero before
@@ -58,7 +65,7 @@
 
 // Lost is a request that was on a server when the server crashed.
 type Lost struct {
-	Digest, ID string
+	Work
 	// At is the latest time at which it may have been running.
 	At time.Time
 }
@@ -88,7 +95,7 @@
 func NewTracker() *Tracker { return &Tracker{servers: make(map[string]*trackedServer)} }
 
 // Start records that a request is being sent.
-func (t *Tracker) Start(now time.Time, s Server, digest, id string) *Send {
+func (t *Tracker) Start(now time.Time, s Server, w Work) *Send {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	sv := t.servers[s.ID]
@@ -96,7 +103,7 @@
 		sv = &trackedServer{Server: s, sends: make(map[*Send]bool)}
 		t.servers[s.ID] = sv
 	}
-	send := &Send{server: s, digest: digest, id: id, sentAt: now}
+	send := &Send{server: s, work: w, sentAt: now}
 	sv.sends[send] = true
 
 	return send
@@ -241,7 +248,7 @@
 }
 
 func (s *Send) lost() Lost {
-	out := Lost{Digest: s.digest, ID: s.id, At: s.sentAt}
+	out := Lost{Work: s.work, At: s.sentAt}
 	if s.broken {
 		out.At = s.endedAt
 	}
--- a/internal/correlator/tracker_test.go
+++ b/internal/correlator/tracker_test.go
@@ -18,7 +18,7 @@
 
 func sent(digest string) func(time.Time, *correlator.Tracker, map[string]*correlator.Send) {
 	return func(now time.Time, t *correlator.Tracker, sends map[string]*correlator.Send) {
-		sends[digest] = t.Start(now, server, digest, digest)
+		sends[digest] = t.Start(now, server, correlator.Work{Digest: digest, ID: digest})
 	}
 }
 
@@ -131,7 +131,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			tracker := correlator.NewTracker()
-			tracker.Start(start, server, "a", "a")
+			tracker.Start(start, server, correlator.Work{Digest: "a", ID: "a"})
 			now := start.Add(time.Second)
 			tracker.Due(now)
 			if lost := tracker.Resolve(now, server.ID, correlator.Silent, time.Time{}); len(lost) > 0 {
@@ -154,8 +154,8 @@
 // Guards against counting two checks without an answer as one outage.
 func TestTrackerAnswerBetweenSilentChecks(t *testing.T) {
 	tracker := correlator.NewTracker()
-	tracker.Start(start, server, "a", "a")
-	other := tracker.Start(start, server, "b", "b")
+	tracker.Start(start, server, correlator.Work{Digest: "a", ID: "a"})
+	other := tracker.Start(start, server, correlator.Work{Digest: "b", ID: "b"})
 	now := start.Add(time.Second)
 	tracker.Due(now)
 	tracker.Resolve(now, server.ID, correlator.Silent, time.Time{})
@@ -171,7 +171,7 @@
 func TestTrackerLimitsChecks(t *testing.T) {
 	tracker := correlator.NewTracker()
 	for n := range 500 {
-		tracker.Start(start, correlator.Server{ID: string(rune('A' + n))}, "a", "a")
+		tracker.Start(start, correlator.Server{ID: string(rune('A' + n))}, correlator.Work{Digest: "a", ID: "a"})
 	}
 	if got, want := len(tracker.Due(start.Add(time.Second))), 64; got != want {
 		t.Errorf("checks: got %d, want %d", got, want)
--- a/internal/digester/digester.go
+++ b/internal/digester/digester.go
@@ -25,3 +25,7 @@
 
 	return hex.EncodeToString(h.Sum(nil)[:digestSize])
 }
+
+// Segment returns the name under which a segment of prompts is known where digests of
+// requests are expected too. It differs from all digests.
+func Segment(id string) string { return "segment:" + id }
--- a/internal/gateway/crash_reporter.go
+++ b/internal/gateway/crash_reporter.go
@@ -16,10 +16,16 @@
 
 // CrashLedger is the record of requests that crash servers. All gateways share it.
 type CrashLedger interface {
-	// Blocked returns the time until which a request is blocked; zero if it is not.
+	// Blocked returns the time until which a request, or a segment of prompts, is blocked;
+	// zero if it is not.
 	Blocked(now time.Time, digest string) time.Time
-	// Blame reports the requests that were running at a server when it crashed.
-	Blame(ctx context.Context, server string, digests []string) error
+	// Suspected reports whether a segment is suspected of crashing servers.
+	Suspected(segment string) bool
+	// Blame reports the requests that were running at a server when it crashed, and the
+	// shared segments of their prompts.
+	Blame(ctx context.Context, server string, digests []string, prefixes [][]string) error
+	// Clear reports that a request with these segments was answered well.
+	Clear(ctx context.Context, segments []string) error
 }
 
 // noCrashLedger keeps no record.
@@ -28,8 +34,14 @@
 // Blocked implements CrashLedger.
 func (noCrashLedger) Blocked(time.Time, string) time.Time { return time.Time{} }
 
+// Suspected implements CrashLedger.
+func (noCrashLedger) Suspected(string) bool { return false }
+
 // Blame implements CrashLedger.
-func (noCrashLedger) Blame(context.Context, string, []string) error { return nil }
+func (noCrashLedger) Blame(context.Context, string, []string, [][]string) error { return nil }
+
+// Clear implements CrashLedger.
+func (noCrashLedger) Clear(context.Context, []string) error { return nil }
 
 const (
 	// crashPollInterval is the interval at which servers in doubt are looked for.
@@ -45,18 +57,21 @@
 	reportTimeout = 30 * time.Second
 )
 
-// errBlocked is returned for a request that is not sent because it has crashed servers.
+// errBlocked is returned for a request that is not sent because it, or others with a segment
+// of its prompt, have crashed servers.
 var errBlocked = errors.Mark(errors.New("the request has crashed servers"), requester.ErrNotSent)
 
 // blocked returns for how long the request is blocked, 0 if it may be sent.
 func (f *forwarder) blocked() time.Duration {
 	now := f.g.s.Timer.Now()
-	until := f.g.s.CrashLedger.Blocked(now, f.digest)
-	if until.IsZero() {
-		return 0
+	left := time.Duration(0)
+	for _, digest := range append([]string{f.digest}, f.segments...) {
+		if until := f.g.s.CrashLedger.Blocked(now, digest); !until.IsZero() {
+			left = max(left, until.Sub(now))
+		}
 	}
 
-	return until.Sub(now)
+	return left
 }
 
 // crashReporter finds out which servers have crashed, and reports the requests that may have
@@ -67,8 +82,9 @@
 	recentSuccesses *correlator.RecentSuccesses
 	stopTimer       func()
 
-	mu     sync.Mutex
-	closed bool
+	mu       sync.Mutex
+	closed   bool
+	clearing map[string]bool // segments that are being cleared
 }
 
 func newCrashReporter(g *Gateway) (*crashReporter, error) {
@@ -77,7 +93,10 @@
 		return nil, errors.Newf("crash reporter: %w", err)
 	}
 
-	return &crashReporter{g: g, tracker: correlator.NewTracker(), recentSuccesses: recentSuccesses, stopTimer: func() {}}, nil
+	return &crashReporter{
+		g: g, tracker: correlator.NewTracker(), recentSuccesses: recentSuccesses, stopTimer: func() {},
+		clearing: make(map[string]bool),
+	}, nil
 }
 
 func (c *crashReporter) start() {
@@ -123,23 +142,62 @@
 		return
 	}
 	digests, ids := make([]string, 0, len(lost)), make([]string, 0, len(lost))
+	var prefixes [][]string
 	for _, l := range lost {
 		digests, ids = append(digests, l.Digest), append(ids, l.ID)
+		if len(l.Segments) > 0 && len(prefixes) < maxSuspects {
+			prefixes = append(prefixes, l.Segments)
+		}
 	}
 	suspects := c.recentSuccesses.Suspects(now, lost)
 	suspects = suspects[:min(len(suspects), maxSuspects)]
 	c.g.s.Log.Warn().Str("server", s.ID).Str("addr", s.Addr).Strs("digests", digests).Strs("ids", ids).Strs("suspects", suspects).
-		Bool("replaced", status.Replaced).Bool("silent", state == correlator.Silent).Err(err).Msg("server crashed while running requests")
-	if len(suspects) == 0 {
+		Interface("prefixes", prefixes).Bool("replaced", status.Replaced).Bool("silent", state == correlator.Silent).Err(err).Msg("server crashed while running requests")
+	if len(suspects) == 0 && len(prefixes) == 0 {
 		return
 	}
 	bounded, cancel := context.WithTimeout(ctx, reportTimeout)
 	defer cancel()
-	if err := c.g.s.CrashLedger.Blame(bounded, s.ID, suspects); err != nil {
+	if err := c.g.s.CrashLedger.Blame(bounded, s.ID, suspects, prefixes); err != nil {
 		c.g.s.Log.Warn().Str("server", s.ID).Strs("suspects", suspects).Err(err).Msg("failed to report crash")
 	}
 }
 
+// noteAnswered records that a server has answered a request well, with the given segments of
+// its prompt. Segments that are suspected of crashing servers are cleared for all gateways.
+func (c *crashReporter) noteAnswered(digest string, segments []string) {
+	c.recentSuccesses.RecordSuccess(c.g.s.Timer.Now(), digest)
+	var suspected []string
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, s := range segments {
+		if !c.clearing[s] && c.g.s.CrashLedger.Suspected(s) {
+			suspected = append(suspected, s)
+			c.clearing[s] = true
+		}
+	}
+	if len(suspected) == 0 || c.closed {
+		return
+	}
+	c.g.tasks.Add(1)
+	go func() {
+		defer c.g.tasks.Done()
+		c.clearSegments(c.g.ctx, suspected)
+	}()
+}
+
+func (c *crashReporter) clearSegments(ctx context.Context, segments []string) {
+	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
+	defer cancel()
+	err := c.g.s.CrashLedger.Clear(ctx, segments)
+	c.g.s.Log.Info().Strs("segments", segments).Err(err).Msg("segments cleared")
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, s := range segments {
+		delete(c.clearing, s)
+	}
+}
+
 // requestStatus asks a server for its status. An error is what the state was concluded from.
 func (c *crashReporter) requestStatus(ctx context.Context, s correlator.Server) (correlator.State, ServerStatus, error) {
 	ctx, cancel := context.WithTimeout(ctx, statusTimeout)
--- a/internal/gateway/crash_reporter_test.go
+++ b/internal/gateway/crash_reporter_test.go
@@ -21,12 +21,16 @@
 	blames  []string // reported servers
 	digests []string
 	blocked bool
+	// blockedNames are the names that are blocked, and suspected those that are suspected.
+	blockedNames, suspected []string
+	prefixes                [][]string
+	cleared                 []string
 }
 
-func (l *fakeLedger) Blocked(now time.Time, _ string) time.Time {
+func (l *fakeLedger) Blocked(now time.Time, name string) time.Time {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if !l.blocked {
+	if !l.blocked && !slices.Contains(l.blockedNames, name) {
 		return time.Time{}
 	}
 
@@ -39,9 +43,32 @@
 	l.blocked = true
 }
 
-func (l *fakeLedger) Blame(_ context.Context, server string, digests []string) error {
+func (l *fakeLedger) Suspected(segment string) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+
+	return slices.Contains(l.suspected, segment)
+}
+
+func (l *fakeLedger) Clear(_ context.Context, segments []string) error {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.cleared = append(l.cleared, segments...)
+
+	return nil
+}
+
+func (l *fakeLedger) clearedSegments() []string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+
+	return slices.Clone(l.cleared)
+}
+
+func (l *fakeLedger) Blame(_ context.Context, server string, digests []string, prefixes [][]string) error {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.prefixes = append(l.prefixes, prefixes...)
 	l.blames = append(l.blames, server)
 	l.digests = append(l.digests, digests...)
 
@@ -230,3 +257,85 @@
 		t.Errorf("digests: got %v, want two different ones", digests)
 	}
 }
+
+// Guards against sending on requests with a blocked segment of their prompts, and against refusing others.
+func TestBlockedSegment(t *testing.T) {
+	decode := newBackend(t, "d", respondWith(http.StatusOK, "id: 1\n\n"))
+	prefill := newBackend(t, "p", respondWith(http.StatusOK, "handle"))
+	ledger := &fakeLedger{blockedNames: []string{"segment:bad", "own"}}
+	r := newTestGatewayWith(t, func(s *gateway.Settings) { s.CrashLedger = ledger }, decode.server(placer.Decode), prefill.server(placer.Prefill))
+	for name, test := range map[string]struct {
+		segments []string
+		want     int
+	}{
+		"blocked":            {[]string{"first", "bad"}, http.StatusServiceUnavailable},
+		"blocked, in front":  {[]string{"bad", "second"}, http.StatusServiceUnavailable},
+		"same first segment": {[]string{"first", "good"}, http.StatusOK},
+		"named as a digest":  {[]string{"own"}, http.StatusOK},
+		"none":               {nil, http.StatusOK},
+	} {
+		t.Run(name, func(t *testing.T) {
+			before := len(decode.arrivals()) + len(prefill.arrivals())
+			got := r.call(t, http.MethodPost, "/stream/x", name, http.Header{"Segment": test.segments, "Prompt": {"50000"}})
+			if got.status != test.want {
+				t.Errorf("status: got %d, want %d", got.status, test.want)
+			}
+			if test.want == http.StatusOK {
+				return
+			}
+			if sent := len(decode.arrivals()) + len(prefill.arrivals()) - before; sent != 0 || got.header.Get("Retry-After") == "" {
+				t.Errorf("blocked request: got %d sends and Retry-After %q, want none and a time", sent, got.header.Get("Retry-After"))
+			}
+		})
+	}
+}
+
+// Guards against a crash that is not counted against the segments of the prompts on the server.
+func TestSegmentsAreBlamed(t *testing.T) {
+	b := newCrashingBackend(t, "s")
+	ledger := &fakeLedger{}
+	r := newTestGatewayWith(t, func(s *gateway.Settings) { s.CrashLedger = ledger }, b.server(placer.Decode))
+	r.call(t, http.MethodPost, "/stream/x", "bad", http.Header{"Segment": {"first", "second"}})
+	ledger.await(testTimeout, 1)
+	ledger.mu.Lock()
+	defer ledger.mu.Unlock()
+	if got, want := fmt.Sprint(ledger.prefixes), "[[segment:first segment:second]]"; got != want {
+		t.Errorf("blamed: got %s, want %s", got, want)
+	}
+}
+
+// Guards against segments that stay suspected although a request with them was answered well, and against clearing others.
+func TestSuspectedSegmentsAreCleared(t *testing.T) {
+	unframed := func(w http.ResponseWriter, _ *http.Request) {
+		conn, out, err := http.NewResponseController(w).Hijack()
+		if err != nil {
+			panic(err)
+		}
+		io.WriteString(out, "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\nid: 1\n\n")
+		out.Flush()
+		conn.Close()
+	}
+	for name, test := range map[string]struct {
+		answer http.HandlerFunc
+		want   []string
+	}{
+		"well":                {respondWith(http.StatusOK, "id: 1\n\n"), []string{"segment:a"}},
+		"rejected":            {respondWith(http.StatusBadRequest, "no"), nil},
+		"failed":              {respondWith(http.StatusInternalServerError, "no"), nil},
+		"broken off":          {breakConnection, nil},
+		"end of a connection": {unframed, nil},
+	} {
+		t.Run(name, func(t *testing.T) {
+			b := newBackend(t, "s", test.answer)
+			ledger := &fakeLedger{suspected: []string{"segment:a"}}
+			r := newTestGatewayWith(t, func(s *gateway.Settings) { s.CrashLedger = ledger }, b.server(placer.Decode))
+			r.call(t, http.MethodPost, "/stream/x", "body", http.Header{"Segment": {"a", "b"}})
+			for limit := time.Now().Add(300 * time.Millisecond); time.Now().Before(limit) && len(ledger.clearedSegments()) == 0; {
+				time.Sleep(5 * time.Millisecond)
+			}
+			if got := ledger.clearedSegments(); !slices.Equal(got, test.want) {
+				t.Errorf("cleared: got %v, want %v", got, test.want)
+			}
+		})
+	}
+}
--- a/internal/gateway/forwarder.go
+++ b/internal/gateway/forwarder.go
@@ -36,7 +36,9 @@
 	requestTarget string // path and query as sent by the caller
 	body          []byte
 	// digest identifies the request also when its caller sends it again under another id.
-	digest   string
+	digest string
+	// segments are the digests of the segments that its prompt shares with other requests.
+	segments []string
 	arrived  time.Time
 	deadline time.Time
 	// sends is the number of servers that the request was sent to.
@@ -134,6 +136,9 @@
 	}
 	f.body = body
 	f.digest = digester.Sum(f.callerID(), f.r.Method, f.r.Host, f.requestTarget, string(body))
+	for _, id := range f.hints.Segments {
+		f.segments = append(f.segments, digester.Segment(id))
+	}
 	f.deadline = f.arrived.Add(time.Duration(f.path.GetTimeout()) * time.Millisecond)
 	if wait := f.hints.Timeout; wait > 0 && f.arrived.Add(wait).Before(f.deadline) {
 		f.deadline = f.arrived.Add(wait)
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -478,19 +478,19 @@
 			for range 8 {
 				r.call(t, http.MethodGet, "/read/x", "", nil)
 			}
-			if got := countRequests(a, "/read/") + countRequests(b, "/read/") - 8; got != test.want {
+			if got := countReads(a) + countReads(b) - 8; got != test.want {
 				t.Errorf("retries: got %d, want %d", got, test.want)
 			}
 		})
 	}
 }
 
-// countRequests returns the number of requests for a path that arrived at a server. Its
-// gateway also checks the status of a server that breaks connections.
-func countRequests(b *backend, prefix string) int {
+// countReads returns the number of requests for the path /read/ that arrived at a server.
+// Its gateway also checks the status of a server that breaks connections.
+func countReads(b *backend) int {
 	n := 0
 	for _, arrival := range b.arrivals() {
-		if _, target, _ := strings.Cut(arrival, " "); strings.HasPrefix(target, prefix) {
+		if strings.HasPrefix(arrival, "GET /read/") {
 			n++
 		}
 	}
@@ -519,7 +519,7 @@
 			for range 8 {
 				r.call(t, http.MethodGet, "/read/x", "", nil)
 			}
-			if got := countRequests(a, "/read/") + countRequests(b, "/read/") - 8; got != test.want {
+			if got := countReads(a) + countReads(b) - 8; got != test.want {
 				t.Errorf("retries: got %d, want %d", got, test.want)
 			}
 		})
--- a/internal/gateway/helpers_test.go
+++ b/internal/gateway/helpers_test.go
@@ -35,6 +35,7 @@
 		return out, errors.New("the header Id is missing")
 	}
 	out.Prompt, _ = strconv.Atoi(h.Get("Prompt"))
+	out.Segments = h.Values("Segment")
 	if ms, _ := strconv.Atoi(h.Get("Wait")); ms > 0 {
 		out.Timeout = time.Duration(ms) * time.Millisecond
 	}
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -16,8 +16,10 @@
 	status int
 	header http.Header
 	body   []byte
-	// rest is the remainder of a body that is too long to buffer; nil if body is complete.
-	rest io.ReadCloser
+	// rest is the remainder of a body that is too long to buffer, and response what it belongs
+	// to; nil if body is complete.
+	rest     io.ReadCloser
+	response *requester.Response
 }
 
 // outcome is the result of one attempt to send a request.
@@ -134,9 +136,9 @@
 	o := f.classifyResponse(s, response)
 	switch {
 	case ended:
-		f.noteCompleted(o)
+		f.noteCompleted(o, response)
 	case o == outcomeAnswered:
-		got.rest = response.Body
+		got.rest, got.response = response.Body, response
 	default:
 		_ = response.Body.Close()
 
@@ -165,11 +167,18 @@
 	}
 }
 
-// noteCompleted records that a server has answered the request well, if the outcome says so.
-func (f *forwarder) noteCompleted(o outcome) {
-	if o == outcomeAnswered {
-		f.g.crashReporter.recentSuccesses.RecordSuccess(f.g.s.Timer.Now(), f.digest)
+// noteCompleted records that a server has answered the request completely.
+func (f *forwarder) noteCompleted(o outcome, r *requester.Response) {
+	if o != outcomeAnswered {
+		return
+	}
+	var segments []string
+	// A server that rejects a request has not worked on its prompt. The end of a body without
+	// framing may be that of a server that has crashed.
+	if r.Framed && r.Status < http.StatusMultipleChoices {
+		segments = f.segments
 	}
+	f.g.crashReporter.noteAnswered(f.digest, segments)
 }
 
 // classifyError returns the outcome that the error of a send stands for, and reports it to
--- a/internal/gateway/response.go
+++ b/internal/gateway/response.go
@@ -69,7 +69,7 @@
 		switch {
 		case err == nil:
 		case isEOF(err):
-			f.noteCompleted(outcomeAnswered)
+			f.noteCompleted(outcomeAnswered, a.response)
 			f.finish("passed", a.status, f.write(piece))
 
 			return
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -49,7 +49,7 @@
 	f.contacted = append(f.contacted, s.ID)
 	reporter := f.g.crashReporter
 	sent := f.g.s.Timer.Now()
-	tracked := reporter.tracker.Start(sent, correlator.Server{ID: s.ID, Addr: s.Addr}, f.digest, f.hints.ID)
+	tracked := reporter.tracker.Start(sent, correlator.Server{ID: s.ID, Addr: s.Addr}, correlator.Work{Digest: f.digest, ID: f.hints.ID, Segments: f.segments})
 	response, err := f.g.s.Requester.Do(ctx, s.Addr, r)
 	if err != nil {
 		reporter.noteFailure(ctx, tracked, err)
--- a/internal/gateway/server_end_test.go
+++ b/internal/gateway/server_end_test.go
@@ -281,8 +281,14 @@
 // Blocked implements gateway.CrashLedger.
 func (*stuckLedger) Blocked(time.Time, string) time.Time { return time.Time{} }
 
+// Suspected implements gateway.CrashLedger.
+func (*stuckLedger) Suspected(string) bool { return false }
+
+// Clear implements gateway.CrashLedger.
+func (*stuckLedger) Clear(context.Context, []string) error { return nil }
+
 // Blame implements gateway.CrashLedger.
-func (l *stuckLedger) Blame(ctx context.Context, _ string, _ []string) error {
+func (l *stuckLedger) Blame(ctx context.Context, _ string, _ []string, _ [][]string) error {
 	l.once.Do(func() { close(l.entered) })
 	<-ctx.Done()
 
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -133,7 +133,7 @@
 			return nil, f.classifyError(c.Server, err), err
 		}
 
-		f.noteCompleted(o)
+		f.noteCompleted(o, response)
 
 		return f.wholeResponse(response, body, o, out)
 	}
@@ -143,7 +143,7 @@
 	if send.Handle != "" {
 		f.g.s.Placer.RecordSuccess(c.Prefill.ID)
 	}
-	f.noteCompleted(outcomeAnswered)
+	f.noteCompleted(outcomeAnswered, response)
 	f.finish("streamed", response.Status, nil)
 
 	return nil, outcomeAnswered, nil
--- a/internal/registrar/command.go
+++ b/internal/registrar/command.go
@@ -84,6 +84,8 @@
 		return "absent " + body.Absent.GetEntry() + " " + strconv.FormatUint(body.Absent.GetEpoch(), 10)
 	case *wire.Command_Blame:
 		return "blame " + body.Blame.GetCrash()
+	case *wire.Command_Clear:
+		return "clear " + strings.Join(body.Clear.GetSegments(), " ")
 	case *wire.Command_Register:
 		return "register " + body.Register.GetAttach().GetName() + " " + strconv.FormatBool(body.Register.GetGone())
 	case *wire.Command_Plan:
--- a/internal/registrar/crash.go
+++ b/internal/registrar/crash.go
@@ -128,10 +128,15 @@
 	if err := spec.Validate(); err != nil {
 		return invalid("%w", err)
 	}
+	r.blameSegments(index, now, m)
 	hold := time.Duration(spec.GetHold()) * time.Second
 	digests := slices.Clone(m.GetDigests())
 	slices.Sort(digests)
 	digests = slices.DeleteFunc(slices.Compact(digests), func(d string) bool { return d == "" })
+	if len(digests) == 0 && len(m.GetPrefixes()) > 0 {
+		// Another report may name the digests of this crash.
+		return done("the crash was counted for segments of prompts only")
+	}
 	if !r.crashes.addReport(now, m, digests) {
 		return done("the crash was counted before")
 	}
--- a/internal/registrar/crash_test.go
+++ b/internal/registrar/crash_test.go
@@ -100,16 +100,7 @@
 				if restart {
 					m.restart()
 				}
-				for _, d := range test.in {
-					if !m.blocked(string(d)) {
-						t.Errorf("%c: got not blocked, want blocked", d)
-					}
-				}
-				for _, d := range test.notIn {
-					if m.blocked(string(d)) {
-						t.Errorf("%c: got blocked, want not blocked", d)
-					}
-				}
+				checkBlocked(t, m, test.in, test.notIn)
 				if b := m.UpdateSince(0).GetBlocks(); test.in != "" && b[0].GetCrashes() != test.crashCount {
 					t.Errorf("crashes: got %d, want %d", b[0].GetCrashes(), test.crashCount)
 				}
@@ -118,6 +109,21 @@
 	}
 }
 
+// checkBlocked checks which of the digests, one letter each, are blocked.
+func checkBlocked(t *testing.T, m *machine, in, notIn string) {
+	t.Helper()
+	for _, d := range in {
+		if !m.blocked(string(d)) {
+			t.Errorf("%c: got not blocked, want blocked", d)
+		}
+	}
+	for _, d := range notIn {
+		if m.blocked(string(d)) {
+			t.Errorf("%c: got blocked, want not blocked", d)
+		}
+	}
+}
+
 // Guards against ignoring the block time that an agent reports.
 func TestBlameHold(t *testing.T) {
 	m := newMachine(t)
--- a/internal/registrar/object.go
+++ b/internal/registrar/object.go
@@ -186,6 +186,8 @@
 		}
 	case *wire.Block:
 		u.Blocks = append(u.Blocks, m)
+	case *wire.Segment:
+		u.Segments = append(u.Segments, m)
 	case *wire.Plan:
 		// The source is most of a plan, and only operators need it.
 		u.Plan = withoutSource(m)
--- a/internal/registrar/registrar.go
+++ b/internal/registrar/registrar.go
@@ -110,6 +110,8 @@
 		return r.claims.markAbsent(now, body.Absent.GetEntry(), body.Absent.GetEpoch())
 	case *wire.Command_Blame:
 		return r.blame(index, now, body.Blame)
+	case *wire.Command_Clear:
+		return r.clearSegments(index, body.Clear)
 	case *wire.Command_Register:
 		return r.register(index, now, body.Register)
 	case *wire.Command_Plan:
--- a/internal/registrar/snapshot.go
+++ b/internal/registrar/snapshot.go
@@ -142,8 +142,11 @@
 		kind = parser.Server
 	}
 	m := parser.New(kind)
-	if kind == planKind {
+	switch kind {
+	case planKind:
 		m = &wire.Plan{}
+	case segmentKind:
+		m = &wire.Segment{}
 	}
 	if m == nil {
 		return errors.Newf("decode snapshot: unknown kind %q", k.kind)
--- a/internal/subscriber/view.go
+++ b/internal/subscriber/view.go
@@ -23,6 +23,7 @@
 	rules    map[string]*wire.Rule
 	servers  map[string]*wire.Server
 	blocks   map[string]*wire.Block
+	segments map[string]*wire.Segment
 
 	// Derived from the maps.
 	serviceList      []*wire.Service
@@ -70,6 +71,9 @@
 	return b
 }
 
+// Suspected reports whether a segment of prompts is suspected of crashing servers.
+func (v *View) Suspected(segment string) bool { return v.segments[segment] != nil }
+
 // Plan returns the current routing plan, or nil if there is none yet.
 func (v *View) Plan() *matcher.Matcher { return v.plan }
 
@@ -97,6 +101,7 @@
 	n.rules = merge(v.rules, u.GetRules(), removed["rule"], full, (*wire.Rule).GetName)
 	n.servers = merge(v.servers, u.GetServers(), removed["server"], full, (*wire.Server).GetName)
 	n.blocks = merge(v.blocks, u.GetBlocks(), removed["block"], full, (*wire.Block).GetDigest)
+	n.segments = merge(v.segments, u.GetSegments(), removed["segment"], full, (*wire.Segment).GetName)
 	n.serviceList = sorted(n.services, func(a, b *wire.Service) int { return strings.Compare(a.GetName(), b.GetName()) })
 	n.rankList = sorted(n.ranks, func(a, b *wire.Rank) int {
 		return cmp.Or(cmp.Compare(a.GetLevel(), b.GetLevel()), strings.Compare(a.GetName(), b.GetName()))
