gateway: pass streams on without the length of their first server

Callers saw: a resumable stream that broke off at a server which states the length of its answer, and that was continued from another one, came with the length of the first answer and was cut off where that ended.

Cause: the headers of the first server are kept for the whole stream, its length too.

Change: streams are passed on in chunks. gateway.TestStreamWithLengthIsContinued failed before (broken).

--- a/internal/gateway/events.go
+++ b/internal/gateway/events.go
@@ -60,7 +60,10 @@
 	}
 	if !e.started {
 		e.started = true
-		e.f.writeHeader(r.Status, r.Header)
+		// Another server may continue the stream, with another length.
+		header := r.Header.Clone()
+		header.Del("Content-Length")
+		e.f.writeHeader(r.Status, header)
 	}
 	if n > 0 {
 		if err := e.f.write(e.pending[:n]); err != nil {
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -525,3 +525,19 @@
 		})
 	}
 }
+
+// Guards against a stream that is continued from another server under the length of the first answer.
+func TestStreamWithLengthIsContinued(t *testing.T) {
+	first := newBackend(t, "a", func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Length", "9")
+		io.WriteString(w, "id: 1\n\n")
+		http.NewResponseController(w).Flush()
+		panic(http.ErrAbortHandler)
+	})
+	second := newBackend(t, "b", respondWith(http.StatusOK, "id: 2\n\nid: 3\n\n"))
+	r := newTestGateway(t, nil, first.server(placer.Decode), second.server(placer.Decode))
+	want := "id: 1\n\nid: 2\n\nid: 3\n\n"
+	if got := r.call(t, http.MethodPost, "/resume/x", "", nil); got.broken || got.body != want {
+		t.Errorf("stream: got body %q, broken %v, want %q whole", got.body, got.broken, want)
+	}
+}
