gateway: take a stream that ends inside an event for broken off

Callers saw: a stream that a server ended inside an event, or before the empty line after it, came as whole, with the half event.

Cause: what was left at the regular end of a body was passed on, whatever it was.

Change: such a stream is cut off without the half event, or continued from another server where the path allows that. Events may also end with CRLF or CR; before, a stream with CRLF was held back until its end. Bodies of another type than text/event-stream are passed on as they are.

--- a/internal/gateway/events.go
+++ b/internal/gateway/events.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"mime"
 	"net/http"
 
 	"github.com/cockroachdb/errors"
@@ -12,6 +13,9 @@
 // errCallerGone marks the error of a stream that ended because writing to the caller failed.
 var errCallerGone = errors.New("the caller has disconnected")
 
+// errIncompleteEvent is returned for a stream that ended inside an event.
+var errIncompleteEvent = errors.New("the stream ended inside an event")
+
 // maxEventBytes limits the size of one event.
 const maxEventBytes = maxBuffered
 
@@ -24,8 +28,8 @@
 	pending []byte // an incomplete event
 }
 
-// copyFrom passes on the events of a response until its end. If the response breaks off, it
-// returns an error and drops the incomplete event.
+// copyFrom passes on the events of a response until its end. If the response breaks off, or
+// ends inside an event, it returns an error and drops the incomplete event.
 func (e *eventWriter) copyFrom(r *requester.Response) error {
 	e.pending = e.pending[:0]
 	buffer := make([]byte, 8<<10)
@@ -39,6 +43,8 @@
 		case err == nil && len(e.pending) > maxEventBytes:
 			return errors.New("event is too long")
 		case err == nil:
+		case isEOF(err) && isEventStream(r.Header) && len(bytes.Trim(e.pending, "\r\n")) > 0:
+			return errIncompleteEvent
 		case isEOF(err):
 			return e.writeComplete(r, true)
 		default:
@@ -52,11 +58,9 @@
 func (e *eventWriter) writeComplete(r *requester.Response, end bool) error {
 	n := len(e.pending)
 	if !end {
-		at := bytes.LastIndex(e.pending, []byte("\n\n"))
-		if at < 0 {
+		if n = eventsEnd(e.pending); n == 0 {
 			return nil
 		}
-		n = at + 2
 	}
 	if !e.started {
 		e.started = true
@@ -78,10 +82,32 @@
 	return nil
 }
 
+// isEventStream reports whether a body consists of events. One without a type does, as only
+// paths that stream events are served by an eventWriter.
+func isEventStream(h http.Header) bool {
+	value := h.Get("Content-Type")
+	mediaType, _, err := mime.ParseMediaType(value)
+
+	return value == "" || err == nil && mediaType == "text/event-stream"
+}
+
+// eventsEnd returns the length of the complete events at the beginning of b. Lines end with
+// LF, CRLF or CR, and events with an empty line.
+func eventsEnd(b []byte) int {
+	end := 0
+	for _, empty := range []string{"\n\n", "\n\r\n", "\r\r"} {
+		if at := bytes.LastIndex(b, []byte(empty)); at >= 0 {
+			end = max(end, at+len(empty))
+		}
+	}
+
+	return end
+}
+
 // lastEventID returns the id of the last event that has one.
 func lastEventID(events []byte) string {
 	id := ""
-	for line := range bytes.SplitSeq(events, []byte("\n")) {
+	for line := range bytes.FieldsFuncSeq(events, func(r rune) bool { return r == '\n' || r == '\r' }) {
 		if value, ok := bytes.CutPrefix(line, []byte("id:")); ok {
 			id = string(bytes.TrimSpace(value))
 		}
--- /dev/null
+++ b/internal/gateway/stream_end_test.go
@@ -0,0 +1,83 @@
+package gateway_test
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"testing"
+
+	"github.com/damasklever/damasklever/internal/placer"
+)
+
+// framing is how a server marks the end of its answer.
+type framing string
+
+const (
+	withLength   framing = "length"
+	chunked      framing = "chunks"
+	byConnection framing = "connection"
+)
+
+// answerStream returns a handler that sends a body with a framing and closes the connection.
+func answerStream(f framing, contentType, body string) http.HandlerFunc {
+	head := "HTTP/1.1 200 OK\r\nConnection: close\r\n"
+	if contentType != "" {
+		head += "Content-Type: " + contentType + "\r\n"
+	}
+	switch f {
+	case withLength:
+		head += fmt.Sprintf("Content-Length: %d\r\n\r\n%s", len(body), body)
+	case chunked:
+		head += fmt.Sprintf("Transfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\n\r\n", len(body), body)
+	default:
+		head += "\r\n" + body
+	}
+
+	return func(w http.ResponseWriter, _ *http.Request) {
+		conn, out, err := http.NewResponseController(w).Hijack()
+		if err != nil {
+			panic(err)
+		}
+		defer conn.Close()
+		io.WriteString(out, head)
+		out.Flush()
+	}
+}
+
+// Guards against a stream that ends inside an event and is passed on as whole.
+func TestStreamEndsInsideEvent(t *testing.T) {
+	const events = "text/event-stream"
+	for name, test := range map[string]struct {
+		contentType, body string
+		whole             bool
+		want              string // of the body, with a path that may not be resumed
+	}{
+		"whole":               {events, "id: 1\ndata: x\n\n", true, "id: 1\ndata: x\n\n"},
+		"empty":               {events, "", true, ""},
+		"CRLF":                {events, "id: 1\r\ndata: x\r\n\r\n", true, "id: 1\r\ndata: x\r\n\r\n"},
+		"further empty lines": {events, "id: 1\n\n\n", true, "id: 1\n\n\n"},
+		"inside a line":       {events + "; charset=utf-8", "id: 1\n\nid: 2\ndata: x", false, "id: 1\n\n"},
+		"after a line":        {events, "id: 1\n\nid: 2\ndata: x\n", false, "id: 1\n\n"},
+		"inside CRLF":         {events, "id: 1\r\n\r\nid: 2\r\n", false, "id: 1\r\n\r\n"},
+		"no type":             {"", "id: 1\n\nid: 2", false, "id: 1\n\n"},
+		"no events":           {"application/json", "{}", true, "{}"},
+	} {
+		for _, f := range []framing{withLength, chunked, byConnection} {
+			t.Run(name+"/"+string(f), func(t *testing.T) {
+				first := newBackend(t, "a", answerStream(f, test.contentType, test.body))
+				second := newBackend(t, "b", answerStream(f, events, "id: 2\n\n"))
+				r := newTestGateway(t, nil, first.server(placer.Decode))
+				if got := r.call(t, http.MethodPost, "/stream/x", "", nil); got.broken == test.whole || got.body != test.want {
+					t.Errorf("stream: got body %q, broken %v, want %q, broken %v", got.body, got.broken, test.want, !test.whole)
+				}
+				if test.whole {
+					return
+				}
+				r = newTestGateway(t, nil, first.server(placer.Decode), second.server(placer.Decode))
+				if got, want := r.call(t, http.MethodPost, "/resume/x", "", nil), test.want+"id: 2\n\n"; got.broken || got.body != want {
+					t.Errorf("resumed stream: got body %q, broken %v, want %q whole", got.body, got.broken, want)
+				}
+			})
+		}
+	}
+}
