gateway: check a server whose answer ends with its connection

Cause: the regular end of a body counted as the whole answer. Without framing, a server that crashes closes its connections in the same way, so that its end was not counted against the requests that it was running. Class of fault: two causes with one sign, of which only the harmless one was considered.

Change: after such an end the server is checked like one whose connection broke.

Tests: gateway.TestServerEndAtEndOfConnectionIsCounted/plain and /stream failed before (no report, want 1); sound servers and answers with a length are not reported.

--- a/internal/gateway/crash_reporter.go
+++ b/internal/gateway/crash_reporter.go
@@ -248,6 +248,9 @@
 	c    *crashReporter
 	ctx  context.Context //nolint:containedctx // of the request
 	send *correlator.Send
+	// framed is false if the end of the connection is the end of the body, as it also is if
+	// the server crashes.
+	framed bool
 }
 
 // Read implements io.Reader.
@@ -257,6 +260,8 @@
 	switch {
 	case err == nil:
 		b.send.Heard(now)
+	case isEOF(err) && !b.framed:
+		b.c.tracker.Break(now, b.send)
 	case isEOF(err):
 		b.c.tracker.Answered(now, b.send)
 	default:
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -60,7 +60,7 @@
 		return nil, errors.Newf("send to %s: %w", s.ID, err)
 	}
 	tracked.Heard(f.g.s.Timer.Now())
-	response.Body = &trackedBody{ReadCloser: response.Body, c: reporter, ctx: ctx, send: tracked}
+	response.Body = &trackedBody{ReadCloser: response.Body, c: reporter, ctx: ctx, send: tracked, framed: response.Framed}
 	f.applyNotice(s, response, sent)
 
 	return response, nil
--- a/internal/gateway/stream_end_test.go
+++ b/internal/gateway/stream_end_test.go
@@ -4,7 +4,9 @@
 	"fmt"
 	"io"
 	"net/http"
+	"strconv"
 	"testing"
+	"time"
 
 	"github.com/damasklever/damasklever/internal/placer"
 )
@@ -81,3 +83,41 @@
 		}
 	}
 }
+
+// Guards against the end of a server that looks like the end of its answer and is not counted.
+func TestServerEndAtEndOfConnectionIsCounted(t *testing.T) {
+	for name, test := range map[string]struct {
+		path    string
+		stage   placer.Stage
+		framing framing
+		crashes bool
+		want    int
+	}{
+		"plain":                 {"/read/x", placer.Plain, byConnection, true, 1},
+		"stream":                {"/stream/x", placer.Decode, byConnection, true, 1},
+		"plain, sound server":   {"/read/x", placer.Plain, byConnection, false, 0},
+		"stream, sound server":  {"/stream/x", placer.Decode, byConnection, false, 0},
+		"plain, with a length":  {"/read/x", placer.Plain, withLength, true, 0},
+		"stream, with a length": {"/stream/x", placer.Decode, withLength, true, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			l := &fakeLedger{}
+			b := newBackend(t, "ending", nil)
+			b.handler = func(w http.ResponseWriter, r *http.Request) {
+				if r.URL.Path == statusPath {
+					io.WriteString(w, strconv.FormatInt(time.Now().Add(-time.Hour).UnixMilli(), 10))
+
+					return
+				}
+				if test.crashes {
+					b.Listener.Close()
+				}
+				answerStream(test.framing, "text/event-stream", "id: 1\n\n")(w, r)
+			}
+			r := newCrashTestGateway(t, l, nil, b.server(test.stage))
+			r.call(t, http.MethodPost, test.path, poisonBody, nil)
+			checkReports(t, l, test.want)
+		})
+	}
+}
