gateway: do not take a broken connection for the refusal of a granted prompt

Cause: a connection that breaks, or an answer that does not come, counted as a refusal by a server whose agent had granted the turn, after which granted prompts need room in the budget too.

Change: only a refusal counts. The break is charged to the budget as before.

Test: gateway.TestBrokenPrefillIsNoRefusal failed before (2 of 10 prompts sent).

--- a/internal/gateway/notice_test.go
+++ b/internal/gateway/notice_test.go
@@ -3,6 +3,7 @@
 import (
 	"io"
 	"net/http"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -128,6 +129,29 @@
 	}
 }
 
+// Guards against taking a connection that broke for the refusal of a granted prompt. Prompts would be processed
+// by decode servers, at half the speed, as soon as the retry budget is used up.
+func TestBrokenPrefillIsNoRefusal(t *testing.T) {
+	decode := newBackend(t, "d", respondWith(http.StatusOK, "id: 1\n\n"))
+	prefill := newBackend(t, "p", breakConnection)
+	r := newTestGatewayWith(t, func(s *gateway.Settings) { s.RetrySlack, s.RetryRatio, s.Agents = 4, 0.0001, &fakeAgents{} },
+		decode.server(placer.Decode), prefill.server(placer.Prefill))
+	const requests = 10
+	for range requests {
+		r.call(t, http.MethodPost, "/stream/", "body", http.Header{"Prompt": {"50000"}})
+		r.placer.RecordSuccess("p")
+	}
+	got := 0
+	for _, arrival := range prefill.arrivals() {
+		if strings.HasPrefix(arrival, "POST") {
+			got++
+		}
+	}
+	if got != requests {
+		t.Errorf("prompts sent to the prefill server: got %d, want %d", got, requests)
+	}
+}
+
 // Guards against charging the retry budget for prompts that prefill servers accept.
 func TestAcceptedPrefillsUseNoRetryBudget(t *testing.T) {
 	decode := newBackend(t, "d", respondWith(http.StatusOK, "id: 1\n\n"))
--- a/internal/gateway/prefill.go
+++ b/internal/gateway/prefill.go
@@ -75,7 +75,7 @@
 	case !retry && charge.taken:
 		f.g.refundRetry(f.pool, charge.takenAt)
 	}
-	if retry && !accepted && charge.granted {
+	if err == nil && !accepted && charge.granted {
 		f.g.noteGrantRefused(f.pool)
 	}
 	if accepted {
