replicator: let the lease of a follower end when it lacks committed entries

Cause: a control host tells its subscribers how long ago it heard from the leader, and they leave it after 0.9 s. A follower hears from the leader also while it lacks what has been committed: its answers do not reach the leader, which then sends no more entries; or it has just started, or lost its disk, and is still being sent what it missed. Its subscribers stay, and have an older configuration in force. Class of fault: the age of a contact taken for the age of a fact.

Change: the lease counts from the last message of the leader after which the follower had everything that the leader had committed.

Test: replicator.TestLeaseOfHostThatIsBehind failed before (lease 0s, want at least 500ms).

--- a/internal/replicator/follower.go
+++ b/internal/replicator/follower.go
@@ -26,6 +26,7 @@
 		// Committed entries are identical on all members and need no check.
 		skip := c.log.commit - prev
 		if uint64(len(entries)) <= skip {
+			c.noteLeaderCommit(m.GetCommit())
 			c.replyAppend(from, true, c.log.commit, m.GetRound())
 
 			return
@@ -39,9 +40,17 @@
 	c.merge(entries)
 	end := prev + uint64(len(entries))
 	c.log.commitTo(min(m.GetCommit(), end))
+	c.noteLeaderCommit(m.GetCommit())
 	c.replyAppend(from, true, end, m.GetRound())
 }
 
+// noteLeaderCommit records that the leader has committed everything up to an index.
+func (c *Core) noteLeaderCommit(index uint64) {
+	if c.log.commit >= index {
+		c.caughtUpAt = c.now
+	}
+}
+
 // conflictHint returns the index at which the leader should try next after a
 // mismatch at prev. It skips all entries of the conflicting term.
 func (c *Core) conflictHint(prev, term uint64) uint64 {
--- a/internal/replicator/replicator.go
+++ b/internal/replicator/replicator.go
@@ -104,7 +104,10 @@
 	now                time.Time
 	deadline           time.Time // end of the election timeout; on the leader, next heartbeat
 	lastHeard          time.Time // time of the last message from the current leader
-	clockStarted       bool
+	// caughtUpAt is the last time at which this member, as a follower, had everything that
+	// the leader had committed.
+	caughtUpAt   time.Time
+	clockStarted bool
 
 	granted          map[uint64]bool
 	progress         map[uint64]*progress
@@ -280,17 +283,17 @@
 }
 
 // Lease returns the time since this member last heard from a majority; for a
-// follower, the time since it last heard from the leader. It is negative if there
-// was no such contact.
+// follower, the time since the leader last told it of nothing that it lacks. It is
+// negative if there was no such contact.
 func (c *Core) Lease(now time.Time) time.Duration {
 	if c.role == Leader {
 		return now.Sub(c.lastQuorumContact())
 	}
-	if c.lastHeard.IsZero() {
+	if c.caughtUpAt.IsZero() {
 		return -1
 	}
 
-	return now.Sub(c.lastHeard)
+	return now.Sub(c.caughtUpAt)
 }
 
 func (c *Core) voters() map[uint64]bool {
@@ -327,6 +330,7 @@
 	if c.role == Leader {
 		// As a leader, this member has had contact with a majority itself.
 		c.lastHeard = c.lastQuorumContact()
+		c.caughtUpAt = c.lastHeard
 	}
 	c.role, c.leader = Follower, leader
 	c.granted, c.progress, c.transferring = nil, nil, false
--- a/internal/replicator/replicator_test.go
+++ b/internal/replicator/replicator_test.go
@@ -426,3 +426,37 @@
 		t.Errorf("commands: got %d, want %d", got, want)
 	}
 }
+
+// Guards against a host that names a fresh lease while it hears from the leader and lacks what the leader has committed.
+func TestLeaseOfHostThatIsBehind(t *testing.T) {
+	c := newCluster(t, 3, 1)
+	leader := c.awaitLeader()
+	behind := c.others(leader)[0]
+	if err := c.propose(leader, "before"); err != nil {
+		t.Fatal(err)
+	}
+	c.run(election)
+	if got, most := behind.core.Lease(c.now), election; got < 0 || got > most {
+		t.Errorf("lease of a host that is up to date: got %v, want 0 to %v", got, most)
+	}
+	// The leader does not hear which entries have arrived, and sends no more of them.
+	c.blocked[[2]uint64{behind.id, leader.id}] = true
+	for i := range 8 {
+		if err := c.propose(leader, fmt.Sprint("missed", i)); err != nil {
+			t.Fatal(err)
+		}
+		c.run(heartbeat)
+	}
+	c.run(10 * election)
+	if leader.core.Status().Role != replicator.Leader || behind.commands["missed7"] != 0 || leader.commands["missed7"] == 0 {
+		t.Fatal("the host is not behind")
+	}
+	if got, least := behind.core.Lease(c.now), 5*election; got < least {
+		t.Errorf("lease of a host that is behind: got %v, want at least %v", got, least)
+	}
+	c.heal()
+	c.run(time.Second)
+	if got, most := behind.core.Lease(c.now), election; got > most || behind.commands["missed7"] == 0 {
+		t.Errorf("lease after it has caught up: got %v, want at most %v", got, most)
+	}
+}
