gateway: reject requests with an unknown key before those without a path

Cause, suspected: a request that no path matches got 404 whatever its key. With the keys revoked the newest plan says 401 to it, since only open paths take requests without a valid key; 404 is what a plan says in which the key is valid. It also told holders of revoked keys which paths there are.

Change: the key is checked first. gateway.TestKeys has both cases without a path; they failed before (404, want 401).

--- a/internal/gateway/customer_test.go
+++ b/internal/gateway/customer_test.go
@@ -40,6 +40,8 @@
 		"rank of the path":     {"/once/x", "k3", "second", "2", http.StatusOK},
 		"unknown":              {"/once/x", "k4", "", "", http.StatusUnauthorized},
 		"missing":              {"/once/x", "", "", "", http.StatusUnauthorized},
+		"unknown, no path":     {"/none/x", "k4", "", "", http.StatusUnauthorized},
+		"missing, no path":     {"/none/x", "", "", "", http.StatusUnauthorized},
 		"open path":            {"/read/x", "", "", "2", http.StatusOK},
 		"open path, known key": {"/read/x", "k3", "second", "2", http.StatusOK},
 		"open path, bad key":   {"/read/x", "k4", "", "2", http.StatusOK},
--- a/internal/gateway/forwarder.go
+++ b/internal/gateway/forwarder.go
@@ -108,18 +108,20 @@
 		return false
 	}
 	path, _, _ := strings.Cut(f.requestTarget, "?")
-	if f.path = plan.Match(f.r.Host, path); f.path == nil {
-		f.fail(http.StatusNotFound, "no path of the plan begins the target")
-
-		return false
-	}
+	f.path = plan.Match(f.r.Host, path)
 	f.keysRequired, f.customer = plan.RequiresKey(), plan.Customer(f.hints.Key)
 	if f.keysRequired && f.customer == nil && !f.path.GetOpen() {
+		// Also without a path: a key that is revoked must not tell which paths there are.
 		f.w.Header().Set("Www-Authenticate", f.g.s.Dialect.Challenge())
 		f.fail(http.StatusUnauthorized, "the key is missing or unknown")
 
 		return false
 	}
+	if f.path == nil {
+		f.fail(http.StatusNotFound, "no path of the plan begins the target")
+
+		return false
+	}
 	f.pool = matcher.ChoosePool(f.path, randomFraction())
 	limit := boundsOf(plan.Bounds()).body
 	body, err := io.ReadAll(http.MaxBytesReader(f.w, f.r.Body, limit))
