--- a/internal/gateway/server_end_test.go
+++ b/internal/gateway/server_end_test.go
@@ -294,3 +294,12 @@
 
 	return ctx.Err()
 }
+
+// Guards against the end of a server that is not counted because a forwarder still accepts connections for it.
+func TestServerEndBehindForwarderIsCounted(t *testing.T) {
+	l := &fakeLedger{}
+	b := newBackend(t, "ending", breakConnection)
+	r := newCrashTestGateway(t, l, nil, b.server(placer.Plain))
+	r.call(t, http.MethodPost, "/once/x", poisonBody, nil)
+	checkReports(t, l, 1)
+}
