--- a/internal/gateway/crash_reporter_test.go
+++ b/internal/gateway/crash_reporter_test.go
@@ -24,7 +24,7 @@
 	// blockedNames are the names that are blocked, and suspected those that are suspected.
 	blockedNames, suspected []string
 	prefixes                [][]string
-	cleared                 []string
+	clears                  chan []string // segments cleared by each call
 }
 
 func (l *fakeLedger) Blocked(now time.Time, name string) time.Time {
@@ -51,20 +51,11 @@
 }
 
 func (l *fakeLedger) Clear(_ context.Context, segments []string) error {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.cleared = append(l.cleared, segments...)
+	l.clears <- segments
 
 	return nil
 }
 
-func (l *fakeLedger) clearedSegments() []string {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-
-	return slices.Clone(l.cleared)
-}
-
 func (l *fakeLedger) Blame(_ context.Context, server string, digests []string, prefixes [][]string) error {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -327,13 +318,17 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			b := newBackend(t, "s", test.answer)
-			ledger := &fakeLedger{suspected: []string{"segment:a"}}
+			ledger := &fakeLedger{suspected: []string{"segment:a"}, clears: make(chan []string, 1)}
 			r := newTestGatewayWith(t, func(s *gateway.Settings) { s.CrashLedger = ledger }, b.server(placer.Decode))
 			r.call(t, http.MethodPost, "/stream/x", "body", http.Header{"Segment": {"a", "b"}})
-			for limit := time.Now().Add(300 * time.Millisecond); time.Now().Before(limit) && len(ledger.clearedSegments()) == 0; {
-				time.Sleep(5 * time.Millisecond)
+			limit := time.NewTimer(300 * time.Millisecond)
+			defer limit.Stop()
+			var got []string
+			select {
+			case got = <-ledger.clears:
+			case <-limit.C:
 			}
-			if got := ledger.clearedSegments(); !slices.Equal(got, test.want) {
+			if !slices.Equal(got, test.want) {
 				t.Errorf("cleared: got %v, want %v", got, test.want)
 			}
 		})
