Answer 504 when the deadline passes while a body is read

Cause: the end of a request's context closes the connection to the server. Up to the head of an answer, requester.Do replaced the error that this causes by the cause of the context; while the body was read, the error of the closed connection came through. gateway.classifyError knew the deadline by its error only, and took every other end of the context for a caller that has left, so it aborted the caller's connection. Streams asked for the cause of the context instead (classifyStreamError), which was right for the deadline, but excused a server that had broken off just before.

Change: the requester alone tells whether the end of the context has closed the connection: the last read of the connection itself then says so, whatever net/http makes of it (it replaces the error in a trailer). Only such an error is the cause of the context. The gateway asks one function which of the three, caller, deadline or server, has ended an exchange (errorOutcome), for sends, plain answers, streams, answers too long to buffer and the crash reporter. A server that breaks off is held to account also if the context has ended since, an answer too long to buffer that breaks off counts against its server, and a request that was not sent by its deadline is refused at once.

--- a/internal/gateway/crash_reporter.go
+++ b/internal/gateway/crash_reporter.go
@@ -224,7 +224,8 @@
 	c.g.observeLimit(s.ID, notice.Limit, time.Time{})
 	body, err := readBody(response)
 	if err != nil {
-		return stateOf(err), ServerStatus{}, errors.Newf("read status of %s: %w", s.ID, err)
+		// The head shows that the server runs, whatever has ended its body.
+		return correlator.Running, ServerStatus{}, errors.Newf("read status of %s: %w", s.ID, err)
 	}
 	status, err := c.g.s.Dialect.ParseStatus(response.Status, body)
 	if status.Replaced {
@@ -311,13 +312,13 @@
 	return b.ReadCloser.Close() //nolint:wrapcheck // passes the error on
 }
 
-// noteFailure records a send that ended with an error.
+// noteFailure records a send with the context ctx that ended with an error.
 func (c *crashReporter) noteFailure(ctx context.Context, send *correlator.Send, err error) {
 	now := c.g.s.Timer.Now()
 	switch {
 	case errors.Is(err, requester.ErrNotSent):
 		c.tracker.Discard(send)
-	case ctx.Err() != nil:
+	case endedByContext(ctx, err):
 		c.tracker.Abandon(now, send)
 	default:
 		c.tracker.Break(now, send)
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"io"
 	"net/http"
 
@@ -16,10 +17,11 @@
 	status int
 	header http.Header
 	body   []byte
-	// rest is the remainder of a body that is too long to buffer, and response what it belongs
-	// to; nil if body is complete.
+	// rest is the remainder of a body that is too long to buffer, response what it belongs to,
+	// and server where it comes from; nil if body is complete.
 	rest     io.ReadCloser
 	response *requester.Response
+	server   *placer.Server
 }
 
 // outcome is the result of one attempt to send a request.
@@ -46,6 +48,9 @@
 	return [...]string{"answered", "failed", "refused", "unsent", "broken", "gone", "due"}[o]
 }
 
+// isServerFailure reports whether the server is to blame.
+func (o outcome) isServerFailure() bool { return o == outcomeUnsent || o == outcomeBroken }
+
 // maxUnreachable limits how many servers that cannot be reached are tried for one request.
 const maxUnreachable = 4
 
@@ -89,12 +94,23 @@
 
 		return
 	}
-	if f.sends > 0 {
-		f.finishWithoutRetry(failure, outcomeBroken)
+	switch o := f.unservedOutcome(); {
+	case o == outcomeCallerGone:
+		f.finishCallerGone()
+	case f.sends > 0 || o == outcomeDeadline:
+		f.finishWithoutRetry(failure, o)
+	default:
+		f.unreachable()
+	}
+}
 
-		return
+// unservedOutcome returns the outcome of a request for which there is no server to send it to.
+func (f *forwarder) unservedOutcome() outcome {
+	if f.ctx.Err() != nil {
+		return f.contextOutcome()
 	}
-	f.unreachable()
+
+	return outcomeBroken
 }
 
 // unreachable refuses a request that reached no server.
@@ -112,6 +128,8 @@
 	switch {
 	case failure != nil:
 		f.writeResponse(failure)
+	case !f.mayHaveRun && o == outcomeDeadline:
+		f.refuse("not sent in time", f.g.s.RetryAfter)
 	case !f.mayHaveRun:
 		f.refuse("server refused", f.g.s.RetryAfter)
 	case o == outcomeDeadline:
@@ -138,7 +156,7 @@
 	case ended:
 		f.noteCompleted(o, response)
 	case o == outcomeAnswered:
-		got.rest, got.response = response.Body, response
+		got.rest, got.response, got.server = response.Body, response, s
 	default:
 		_ = response.Body.Close()
 
@@ -181,24 +199,40 @@
 	f.g.crashReporter.noteAnswered(f.digest, segments)
 }
 
-// classifyError returns the outcome that the error of a send stands for, and reports it to
-// the placer.
+// classifyError returns the outcome that the error of a send, or of reading its response,
+// stands for, and reports it to the placer.
 func (f *forwarder) classifyError(s *placer.Server, err error) outcome {
-	unsent := errors.Is(err, requester.ErrNotSent)
-	switch {
-	case errors.Is(err, errDeadline) && !unsent:
-		f.mayHaveRun = true
+	f.mayHaveRun = f.mayHaveRun || !errors.Is(err, requester.ErrNotSent)
+	o := f.errorOutcome(err)
+	if o.isServerFailure() {
+		f.markFailed(s, err)
+	}
+	if o == outcomeBroken {
+		f.countSend(s)
+	}
+
+	return o
+}
 
-		return outcomeDeadline
-	case f.ctx.Err() != nil && !errors.Is(err, errDeadline):
+// errorOutcome tells who has ended an exchange with a server: the caller, the deadline or the
+// server.
+func (f *forwarder) errorOutcome(err error) outcome {
+	switch {
+	case errors.Is(err, errCallerGone):
 		return outcomeCallerGone
-	}
-	f.markFailed(s, err)
-	if unsent {
+	case endedByContext(f.ctx, err):
+		return f.contextOutcome()
+	case errors.Is(err, requester.ErrNotSent):
 		return outcomeUnsent
+	default:
+		return outcomeBroken
 	}
-	f.countSend(s)
-	f.mayHaveRun = true
+}
 
-	return outcomeBroken
+// endedByContext reports whether an exchange with a server failed because its context has
+// ended. The context may also have ended after the server had broken the exchange off.
+func endedByContext(ctx context.Context, err error) bool {
+	cause := context.Cause(ctx)
+
+	return cause != nil && errors.Is(err, cause)
 }
--- a/internal/gateway/response.go
+++ b/internal/gateway/response.go
@@ -76,7 +76,7 @@
 
 			return
 		default:
-			f.abort(outcomeBroken)
+			f.endUnfinished(f.classifyError(a.server, err))
 		}
 	}
 }
@@ -149,6 +149,14 @@
 	panic(http.ErrAbortHandler)
 }
 
+// endUnfinished ends a request whose answer has begun and cannot be finished.
+func (f *forwarder) endUnfinished(o outcome) {
+	if o == outcomeCallerGone {
+		f.finishCallerGone()
+	}
+	f.abort(o)
+}
+
 // finishCallerGone ends a request whose caller has disconnected.
 func (f *forwarder) finishCallerGone() {
 	if len(f.contacted) == 0 {
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -67,13 +67,11 @@
 // finishUnserved ends a request for which there is no server, or no memory in time.
 func (f *forwarder) finishUnserved(out *eventWriter, failure *bufferedResponse, err error) {
 	var refused *grantclient.RefusedError
-	switch {
-	case out.started:
-		f.abort(outcomeBroken)
+	switch o := f.unservedOutcome(); {
+	case out.started || o == outcomeCallerGone:
+		f.endUnfinished(o)
 	case f.sends > 0:
-		f.finishWithoutRetry(failure, outcomeBroken)
-	case f.ctx.Err() != nil && f.contextOutcome() == outcomeCallerGone:
-		f.finishCallerGone()
+		f.finishWithoutRetry(failure, o)
 	case errors.As(err, &refused):
 		f.refuse("no room: "+refused.Reason, max(refused.After, f.g.s.RetryAfter))
 	case errors.Is(err, errNoVersion):
@@ -140,7 +138,7 @@
 		return f.wholeResponse(response, body, o, out)
 	}
 	if err := out.copyFrom(response, c.Server); err != nil {
-		return nil, f.classifyStreamError(c.Server, err), err
+		return nil, f.classifyError(c.Server, err), err
 	}
 	if send.Handle != "" {
 		f.g.s.Placer.RecordSuccess(c.Prefill.ID)
@@ -167,20 +165,6 @@
 	return got, o, nil
 }
 
-// classifyStreamError returns the outcome that an error in the middle of a stream stands
-// for.
-func (f *forwarder) classifyStreamError(s *placer.Server, err error) outcome {
-	if f.ctx.Err() != nil {
-		return f.contextOutcome()
-	}
-	if errors.Is(err, errCallerGone) {
-		return outcomeCallerGone
-	}
-	f.g.s.Placer.RecordFailure(f.g.s.Timer.Now(), s.ID)
-
-	return outcomeBroken
-}
-
 // contextOutcome returns the outcome for a request whose context has ended.
 func (f *forwarder) contextOutcome() outcome {
 	if errors.Is(context.Cause(f.ctx), errDeadline) {
--- a/internal/requester/exchange.go
+++ b/internal/requester/exchange.go
@@ -2,7 +2,9 @@
 
 import (
 	"bytes"
+	"context"
 	"io"
+	"net"
 	"net/http"
 	"strconv"
 	"strings"
@@ -50,6 +52,7 @@
 // exchange is one request and its response on a connection.
 type exchange struct {
 	rq          *Requester
+	ctx         context.Context //nolint:containedctx // of the request
 	addr        string
 	serverConn  *serverConn
 	stop        func() bool
@@ -61,11 +64,11 @@
 // those of other requests.
 func (e *exchange) receive(r *Request) (*Response, error) {
 	for range maxResponseHeads {
-		e.serverConn.head.begin()
+		e.serverConn.source.beginHead()
 		head, err := http.ReadResponse(e.serverConn.reader, &http.Request{Method: r.Method}) //nolint:bodyclose // the caller of Do closes it
-		e.serverConn.head.end()
+		e.serverConn.source.endHead()
 		if err != nil {
-			return nil, errors.Newf("read response: %w", err)
+			return nil, errors.Newf("read response: %w", e.readError(err))
 		}
 		if head.StatusCode < http.StatusOK {
 			continue
@@ -82,7 +85,10 @@
 			break
 		}
 		n, err := io.Copy(io.Discard, io.LimitReader(head.Body, maxSkippedBytes))
-		if err != nil || n == maxSkippedBytes {
+		if err != nil {
+			return nil, errors.Newf("skip response to another request: %w", e.readError(err))
+		}
+		if n == maxSkippedBytes {
 			break
 		}
 	}
@@ -90,6 +96,16 @@
 	return nil, errors.New("read response: no response of the server belongs to the request")
 }
 
+// readError returns the error with which reading a response has ended: the cause of the
+// context if its end has closed the connection, otherwise err.
+func (e *exchange) readError(err error) error {
+	if cause := context.Cause(e.ctx); cause != nil && errors.Is(e.serverConn.source.err, net.ErrClosed) {
+		return cause
+	}
+
+	return err
+}
+
 // abandon closes the connection.
 func (e *exchange) abandon() {
 	e.once.Do(func() {
@@ -138,6 +154,7 @@
 	case errors.Is(err, io.EOF) && b.keep:
 		b.e.finish(keepAliveTimeout(b.head.Header, b.e.rq.s.IdleTimeout))
 	default:
+		err = b.e.readError(err)
 		b.e.abandon()
 	}
 
--- a/internal/requester/requester.go
+++ b/internal/requester/requester.go
@@ -95,7 +95,7 @@
 type serverConn struct {
 	net.Conn
 	reader      *bufio.Reader
-	head        *headLimiter
+	source      *connReader
 	lastUsed    time.Time
 	idleTimeout time.Duration
 	reused      bool // it has carried a request before
@@ -162,23 +162,22 @@
 
 // Do sends a request to addr, "ip:port", and returns the head of its response. An error
 // marked ErrNotSent means that the server has not received any of the request; after any
-// other error the server may have run it. The connection is closed when ctx ends.
+// other error the server may have run it. The connection is closed when ctx ends. An error
+// that this causes, here or while the body is read, is the cause of ctx; all others are those
+// of the server, also if ctx has ended since.
 func (rq *Requester) Do(ctx context.Context, addr string, r *Request) (*Response, error) {
 	conn, err := rq.acquire(ctx, addr, r.NewConn)
 	if err != nil {
 		return nil, errors.Mark(errors.Newf("connect to %s: %w", addr, err), ErrNotSent)
 	}
 	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
-	e := &exchange{rq: rq, addr: addr, serverConn: conn, stop: stop, writeResult: make(chan error, 1)}
+	e := &exchange{rq: rq, ctx: ctx, addr: addr, serverConn: conn, stop: stop, writeResult: make(chan error, 1)}
 	// A server may respond before it has read the whole body, so the response is read while
 	// the request is still being written.
 	go func() { e.writeResult <- r.write(conn) }()
 	response, err := e.receive(r)
 	if err != nil {
 		e.abandon()
-		if cause := context.Cause(ctx); cause != nil {
-			err = cause
-		}
 
 		return nil, errors.Newf("exchange with %s: %w", addr, err)
 	}
@@ -188,8 +187,8 @@
 
 // acquire returns an idle connection, or opens one if there is none or newConn is set.
 func (rq *Requester) acquire(ctx context.Context, addr string, newConn bool) (*serverConn, error) {
-	if err := ctx.Err(); err != nil {
-		return nil, errors.Newf("take connection: %w", err)
+	if cause := context.Cause(ctx); cause != nil {
+		return nil, errors.Newf("take connection: %w", cause)
 	}
 	for !newConn {
 		conn := rq.popIdle(addr)
@@ -228,40 +227,47 @@
 	}}
 	conn, err := d.DialContext(ctx, "tcp", addr)
 	if err != nil {
+		if cause := context.Cause(ctx); cause != nil && errors.Is(err, context.Canceled) {
+			err = cause
+		}
+
 		return nil, errors.Newf("dial: %w", err)
 	}
 	rq.mu.Lock()
 	rq.opened++
 	rq.mu.Unlock()
 
-	head := &headLimiter{in: conn}
+	source := &connReader{in: conn}
 
-	return &serverConn{Conn: conn, reader: bufio.NewReaderSize(head, bufferSize), head: head}, nil
+	return &serverConn{Conn: conn, reader: bufio.NewReaderSize(source, bufferSize), source: source}, nil
 }
 
-// headLimiter limits the bytes read for the head of a response, because net/http does not
-// limit them. It is not safe for concurrent use.
-type headLimiter struct {
+// connReader reads from a connection. It limits the bytes read for the head of a response,
+// because net/http does not, and keeps the error of the connection, which net/http replaces in
+// some places. It is not safe for concurrent use.
+type connReader struct {
 	in        io.Reader
 	limiting  bool
 	remaining int
+	err       error
 }
 
-// begin limits the reads that follow, until end is called.
-func (h *headLimiter) begin() { h.limiting, h.remaining = true, maxHeadBytes }
+// beginHead limits the reads that follow, until endHead is called.
+func (r *connReader) beginHead() { r.limiting, r.remaining = true, maxHeadBytes }
 
-func (h *headLimiter) end() { h.limiting = false }
+func (r *connReader) endHead() { r.limiting = false }
 
 // Read implements io.Reader.
-func (h *headLimiter) Read(p []byte) (int, error) {
-	if !h.limiting {
-		return h.in.Read(p) //nolint:wrapcheck // io.Reader passes io.EOF on
-	}
-	if h.remaining <= 0 {
-		return 0, errHeadTooLarge
+func (r *connReader) Read(p []byte) (int, error) {
+	if r.limiting {
+		if r.remaining <= 0 {
+			return 0, errHeadTooLarge
+		}
+		p = p[:min(len(p), r.remaining)]
 	}
-	n, err := h.in.Read(p[:min(len(p), h.remaining)])
-	h.remaining -= n
+	n, err := r.in.Read(p)
+	r.remaining -= n
+	r.err = err
 
 	return n, err //nolint:wrapcheck // io.Reader passes io.EOF on
 }
