Do not hold the end of a request against a prompt's or reservation's server

Callers saw: nothing directly; a prefill server, or one that was asked for a reservation, was avoided after a caller had left or a deadline had passed, so that later requests went to worse servers.

Every error of these two readers counted as a failure of the server. The grant of a prefill server was returned as whole if the context had ended since, although the server had broken off.

Change: both use the rule of the other readers (errorOutcome). A call that ends at a limit of its own, reserveTimeout or that of a prompt, still counts against its server.

--- a/internal/gateway/body_end_test.go
+++ b/internal/gateway/body_end_test.go
@@ -173,6 +173,8 @@
 		endedBeforeDeadline: "cut: broken",
 	}
 
+	reading := func(s *gateway.Settings) { s.Agents = &fakeAgents{} }
+
 	return map[string]bodyReader{
 		"plain":             {path: "/once/x", stage: placer.Plain, part: text, want: whole},
 		"plain, repeatable": {path: "/read/x", stage: placer.Plain, part: text, want: whole},
@@ -182,6 +184,20 @@
 		"stream":            {path: "/stream/x", stage: placer.Decode, part: events, want: whole},
 		"stream, begun":     {path: "/stream/x", stage: placer.Decode, part: event, want: begun},
 		"stream, resumable": {path: "/resume/x", stage: placer.Decode, part: event, want: begun},
+		"prompt": {
+			path: "/stream/x", stage: placer.Prefill, part: text, prompt: 10_000, change: reading,
+			want: map[bodyEnd]string{
+				endedByDeadline: "not sent in time", endedByCaller: left,
+				endedByServer: "streamed", endedBeforeDeadline: "streamed",
+			},
+		},
+		"reservation": {
+			path: "/stream/x", stage: placer.Decode, part: text, change: withReservations, deadline: 200 * time.Millisecond,
+			reads: func(r *http.Request) bool { return strings.HasPrefix(r.URL.Path, "/reserve/") },
+			want: map[bodyEnd]string{
+				endedByDeadline: "no room in time", endedByCaller: left, endedByServer: "no room in time",
+			},
+		},
 		"status": {
 			path: "/once/x", stage: placer.Plain, part: text, reads: isStatusRequest,
 			rest: answerStream(byConnection, "text/plain", "all"),
--- a/internal/gateway/prefill.go
+++ b/internal/gateway/prefill.go
@@ -23,7 +23,7 @@
 	}
 	switch {
 	case p.prefill == nil:
-	case err != nil && f.ctx.Err() == nil && !errors.Is(err, errRetryBudget):
+	case err != nil && f.errorOutcome(err).isServerFailure() && !errors.Is(err, errRetryBudget):
 		p.prefill.ReleaseBroken()
 	default:
 		p.prefill.Release()
@@ -101,14 +101,14 @@
 	response, err := f.send(ctx, s, Attempt{Server: s.ID, Prefill: true})
 	f.settlePrefill(charge, err == nil && response.Status == http.StatusOK, err)
 	if err != nil {
-		f.markFailed(s, err)
+		f.noteError(s, err)
 
 		return "", errors.Newf("prefill: %w", err)
 	}
 	defer func() { _ = response.Body.Close() }()
 	body, err := readBody(response)
 	if err != nil {
-		f.g.s.Placer.RecordFailure(f.g.s.Timer.Now(), s.ID)
+		f.noteError(s, err)
 
 		return "", errors.Newf("prefill: %w", err)
 	}
--- a/internal/gateway/reservation.go
+++ b/internal/gateway/reservation.go
@@ -131,7 +131,7 @@
 	if errors.Is(err, errNoMemory) {
 		f.g.s.Placer.MarkFull(f.g.s.Timer.Now(), s.ID, fullServerPause)
 	} else {
-		f.markFailed(s, err)
+		f.noteError(s, err)
 	}
 	f.g.s.Log.Debug().Str("id", f.hints.ID).Str("server", s.ID).Err(err).Msg("memory not reserved")
 
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -97,6 +97,14 @@
 	}
 }
 
+// noteError reports the error of a call that does not run the request to the placer, unless
+// the end of the request has ended it.
+func (f *forwarder) noteError(s *placer.Server, err error) {
+	if f.errorOutcome(err).isServerFailure() {
+		f.markFailed(s, err)
+	}
+}
+
 // readBody reads a body completely. A body that breaks off or is too long is an error.
 func readBody(r *requester.Response) ([]byte, error) {
 	b, ended, err := readLimited(r)
