Do not hold it against a server that it stops at the deadline it was told

Callers saw: 502 instead of 504 at the deadline, or, of a request that may be repeated, a closed connection; the server, which had only kept to the deadline in its request, was avoided by later requests.

Cause: the time left is sent to a server in whole milliseconds, so a near server ends its answer up to a millisecond before the deadline of the request, and its end was taken for a failure. A request with less than a millisecond left was sent with a time of 0.

Evidence: TestEndOfBody, rows "server, at its deadline": all nine (readers of answers, and the prompt read apart) failed before, none after. The rows "server, shortly before the deadline" (100 ms) pass before and after: such a server is still held to account.

Change: a server that ends an exchange when less than one unit of the time left remains has stopped at the deadline, and nothing is sent any more then.

--- a/internal/gateway/body_end_test.go
+++ b/internal/gateway/body_end_test.go
@@ -35,6 +35,8 @@
 	endedByCaller       bodyEnd = "caller"
 	endedByServer       bodyEnd = "server"
 	endedBeforeDeadline bodyEnd = "server, shortly before the deadline"
+	// endedAtToldDeadline means that the server stops at the deadline that it was told.
+	endedAtToldDeadline bodyEnd = "server, at its deadline"
 )
 
 // answerPart is the head and the first bytes of an answer whose body goes on.
@@ -77,6 +79,7 @@
 		left = 0
 	case endedBeforeDeadline:
 		left -= shortlyBefore
+	case endedAtToldDeadline:
 	case endedByDeadline, endedByCaller:
 		left = time.Hour
 	}
@@ -166,13 +169,12 @@
 	event := answerPart{http.StatusOK, chunked, "text/event-stream", "id: 1\n\n"}
 	const late, left, failed = "no answer in time", "caller left", "the server failed"
 	whole := map[bodyEnd]string{
-		endedByDeadline: late, endedByCaller: left, endedByServer: failed, endedBeforeDeadline: failed,
+		endedByDeadline: late, endedAtToldDeadline: late, endedByCaller: left, endedByServer: failed, endedBeforeDeadline: failed,
 	}
 	begun := map[bodyEnd]string{
-		endedByDeadline: "cut: due", endedByCaller: left, endedByServer: "cut: broken",
+		endedByDeadline: "cut: due", endedAtToldDeadline: "cut: due", endedByCaller: left, endedByServer: "cut: broken",
 		endedBeforeDeadline: "cut: broken",
 	}
-
 	reading := func(s *gateway.Settings) { s.Agents = &fakeAgents{} }
 
 	return map[string]bodyReader{
@@ -187,7 +189,7 @@
 		"prompt": {
 			path: "/stream/x", stage: placer.Prefill, part: text, prompt: 10_000, change: reading,
 			want: map[bodyEnd]string{
-				endedByDeadline: "not sent in time", endedByCaller: left,
+				endedByDeadline: "not sent in time", endedAtToldDeadline: "not sent in time", endedByCaller: left,
 				endedByServer: "streamed", endedBeforeDeadline: "streamed",
 			},
 		},
--- a/internal/gateway/forwarder.go
+++ b/internal/gateway/forwarder.go
@@ -179,6 +179,9 @@
 // timeLeft returns the time until the deadline of the request.
 func (f *forwarder) timeLeft() time.Duration { return f.deadline.Sub(f.g.s.Timer.Now()) }
 
+// deadlineUnit is the unit in which servers are told the time left.
+const deadlineUnit = time.Millisecond
+
 // attemptsLeft reports whether the request may be sent to another server.
 func (f *forwarder) attemptsLeft() bool { return f.sends < max(int(f.path.GetAttempts()), 1) }
 
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -220,10 +220,15 @@
 	switch {
 	case errors.Is(err, errCallerGone):
 		return outcomeCallerGone
+	case errors.Is(err, errDeadline):
+		return outcomeDeadline
 	case endedByContext(f.ctx, err):
 		return f.contextOutcome()
 	case errors.Is(err, requester.ErrNotSent):
 		return outcomeUnsent
+	case f.timeLeft() < deadlineUnit:
+		// The server was told the time left in whole units and has stopped at its end.
+		return outcomeDeadline
 	default:
 		return outcomeBroken
 	}
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -26,7 +26,8 @@
 )
 
 // send sends the request to a server and applies the notice in its response. It fails if the
-// server has announced its shutdown or asked for a pause since it was chosen.
+// server has announced its shutdown or asked for a pause since it was chosen, or if there is no
+// time left that the server could be told.
 func (f *forwarder) send(ctx context.Context, s *placer.Server, send Attempt) (*requester.Response, error) {
 	if f.g.s.Placer.Unavailable(f.g.s.Timer.Now(), s.ID) {
 		return nil, errors.Mark(errors.Newf("send to %s: %w", s.ID, errServerUnavailable), requester.ErrNotSent)
@@ -34,6 +35,9 @@
 	if f.blocked() > 0 {
 		return nil, errBlocked
 	}
+	if f.timeLeft() < deadlineUnit {
+		return nil, errors.Mark(errors.Newf("send to %s: %w", s.ID, errDeadline), requester.ErrNotSent)
+	}
 	// A reservation has counted for its request too.
 	charged := 1.0
 	if send.ReservationID != "" {
