Know a replaced server from the head of its answer to a status request

Callers saw: nothing directly. A server that answers a status request with 421 is another one at the address of the server that is asked about, which has ended. If the rest of that answer broke off or did not come in time, the server counted as running, and its end against no request.

Evidence: TestReplacedServerWithUnfinishedStatusIsCounted, both cases, failed before (no report of 1), none after.

Change: the status line is judged whatever ends the body. An unfinished body of any other answer still leaves the server running, as its head shows.

--- a/internal/gateway/crash_reporter.go
+++ b/internal/gateway/crash_reporter.go
@@ -222,16 +222,15 @@
 		c.g.s.Log.Warn().Str("server", s.ID).Err(notice.Fault).Msg("invalid server notice")
 	}
 	c.g.observeLimit(s.ID, notice.Limit, time.Time{})
-	body, err := readBody(response)
-	if err != nil {
-		// The head shows that the server runs, whatever has ended its body.
-		return correlator.Running, ServerStatus{}, errors.Newf("read status of %s: %w", s.ID, err)
-	}
+	body, readErr := readBody(response)
 	status, err := c.g.s.Dialect.ParseStatus(response.Status, body)
-	if status.Replaced {
+	switch {
+	case status.Replaced:
 		return correlator.Gone, status, nil
-	}
-	if err != nil {
+	case readErr != nil:
+		// The head shows that the server runs, whatever has ended its body.
+		return correlator.Running, ServerStatus{}, errors.Newf("read status of %s: %w", s.ID, readErr)
+	case err != nil:
 		err = errors.Mark(errors.Newf("parse status of %s: %w", s.ID, err), errInvalidStatus)
 	}
 
--- a/internal/gateway/server_end_test.go
+++ b/internal/gateway/server_end_test.go
@@ -145,6 +145,28 @@
 	}
 }
 
+// Guards against the end of a server that is not counted because the rest of the answer of
+// the one that took its address is missing.
+func TestReplacedServerWithUnfinishedStatusIsCounted(t *testing.T) {
+	for _, end := range []bodyEnd{endedByServer, endedByDeadline} {
+		t.Run(string(end), func(t *testing.T) {
+			t.Parallel()
+			part := answerPart{http.StatusMisdirectedRequest, withLength, "text/plain", "x"}
+			l := &fakeLedger{}
+			b := newBackend(t, "ending", func(w http.ResponseWriter, r *http.Request) {
+				if isStatusRequest(r) {
+					part.serve(w, r, end, func() {})
+				} else {
+					breakConnection(w, r)
+				}
+			})
+			r := newCrashTestGateway(t, l, nil, b.server(placer.Plain))
+			r.call(t, http.MethodPost, "/once/x", poisonBody, nil)
+			checkReports(t, l, 1)
+		})
+	}
+}
+
 // Guards against a server's end that is not counted because the caller had left before.
 func TestServerEndIsCountedAfterCallerLeft(t *testing.T) {
 	for name, test := range map[string]struct {
