Count an engine's stream that is cut inside a line as broken

Callers saw, on the product's own interface: an answer whose stream to the agent broke inside a line was not continued, but ended with an error or by a second run, "the response is invalid".

Cause: bufio.ScanLines returns what is left before an error or the end as a last line. The agent resumes a stream only if the driver says that its connection broke, and half a line was an invalid response instead.

Evidence: TestDecodeErrors, "inside a line", failed before (ErrInvalid), passes now; "no line end" passes before and after.

Change: a last line without a line end counts only if it is whole JSON; otherwise the read error, or an unexpected end, is what ended the stream.

--- a/internal/driver/driver_test.go
+++ b/internal/driver/driver_test.go
@@ -37,6 +37,8 @@
 	}{
 		"complete":        {200, `{"seq":2,"text":"a","tokens":1}` + "\n" + `{"end":"done","chunks":3}` + "\n", nil},
 		"no end marker":   {200, `{"seq":2,"text":"a","tokens":1}` + "\n", driver.ErrConnBroken},
+		"inside a line":   {200, `{"seq":2,"text":"a","tokens":1}` + "\n" + `{"seq":3,"te`, driver.ErrConnBroken},
+		"no line end":     {200, `{"end":"done","chunks":2}`, nil},
 		"short":           {200, `{"seq":2,"text":"a"}` + "\n" + `{"end":"done","chunks":9}` + "\n", driver.ErrInvalid},
 		"gap":             {200, `{"seq":3,"text":"a"}` + "\n", driver.ErrInvalid},
 		"not JSON":        {200, "data\n", driver.ErrInvalid},
--- a/internal/driver/engine.go
+++ b/internal/driver/engine.go
@@ -2,7 +2,9 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
+	"encoding/json"
 	"io"
 	"net/http"
 	"time"
@@ -270,10 +272,20 @@
 func newScanner(r io.Reader) *bufio.Scanner {
 	s := bufio.NewScanner(r)
 	s.Buffer(nil, maxLineBytes)
+	s.Split(splitLines)
 
 	return s
 }
 
+// splitLines is bufio.ScanLines, but a last line without a line end counts only if it is whole.
+func splitLines(data []byte, atEOF bool) (int, []byte, error) {
+	if atEOF && len(data) > 0 && bytes.IndexByte(data, '\n') < 0 && !json.Valid(data) {
+		return 0, nil, io.ErrUnexpectedEOF
+	}
+
+	return bufio.ScanLines(data, atEOF)
+}
+
 // readLine returns the next line. It returns ErrConnBroken at the end of the stream,
 // because callers stop reading at the end marker and a stream that ends before it is
 // incomplete.
