Tell who has ended an agent's call to its backend server

Callers saw: a plain call on the product's own interface that the agent ended at its timeout failed with "context canceled" as its reason. A server that broke off just before a call ended was excused, so that the agent did not look whether it had crashed.

Change: only an error that is that of the context names its end, with the cause; every other one is that of the server.

--- a/internal/driver/call.go
+++ b/internal/driver/call.go
@@ -74,7 +74,12 @@
 	// Without framing, the end of the connection is the end of the body, and also what is seen
 	// of a service that crashes.
 	if err == nil && !framed && !c.Probe(ctx) {
-		return Response{}, errors.Newf("run: service has ended with its response: %w", connectionError(ctx, io.ErrUnexpectedEOF))
+		cause := context.Cause(ctx)
+		if cause == nil {
+			cause = io.ErrUnexpectedEOF
+		}
+
+		return Response{}, errors.Newf("run: service has ended with its response: %w", connectionError(ctx, cause))
 	}
 
 	return response, err
--- a/internal/driver/driver.go
+++ b/internal/driver/driver.go
@@ -119,11 +119,11 @@
 	return nil, parseErrorResponse(res.StatusCode, data)
 }
 
-// connectionError returns the error of ctx if it has ended, ErrUnreachable if dialling
-// failed, and ErrConnBroken in all other cases.
+// connectionError returns the cause of ctx if its end has ended the call, ErrUnreachable if
+// dialling failed, and ErrConnBroken in all other cases, also if ctx has ended since.
 func connectionError(ctx context.Context, err error) error {
-	if ctx.Err() != nil {
-		return errors.Newf("call backend server: %w", ctx.Err())
+	if cause := context.Cause(ctx); cause != nil && (errors.Is(err, cause) || errors.Is(err, ctx.Err())) {
+		return errors.Newf("call backend server: %w", cause)
 	}
 	var op *net.OpError
 	if errors.As(err, &op) && op.Op == "dial" {
