Confirm the only software version before a stream goes on at it

Cause: an entry that cannot ask the keepers of a stream goes on at the only version of its pool that it knows of, and held that for true for 0.9 s after its last pulse. A pulse counts from when it is read: those that waited in the socket of a frozen entry made an old view fresh again.

Ruled out: to count a pulse from when it was sent. That leaves the 0.9 s in which a version can join elsewhere. To refuse every stream whose keepers do not answer would refuse those of a pool with one version, too.

Change: the entry asks the control hosts for the versions after the take-up has arrived; only an answer that a majority confirms counts.

--- a/internal/gateway/version.go
+++ b/internal/gateway/version.go
@@ -19,9 +19,9 @@
 	// Locate returns the origin of the stream that a request has begun, here or at another
 	// gateway.
 	Locate(ctx context.Context, id string) (versioner.Origin, versioner.Answer)
-	// Sole returns the only version of a pool whose streams may still go on. It returns false
-	// if there are several, or if that is not certain.
-	Sole(pool string) (string, bool)
+	// Sole returns the only version of a pool whose streams may still go on, as is certain after
+	// the call. It returns false if there are several, or if that is not certain.
+	Sole(ctx context.Context, pool string) (string, bool)
 }
 
 // listedVersions knows nothing but the listed servers.
@@ -36,7 +36,7 @@
 }
 
 // Sole implements Versions.
-func (v listedVersions) Sole(pool string) (string, bool) {
+func (v listedVersions) Sole(_ context.Context, pool string) (string, bool) {
 	versions := v.placer.Versions(pool)
 	if len(versions) != 1 {
 		return "", false
@@ -93,7 +93,7 @@
 	if answer == versioner.Known || len(f.path.GetShares()) != 1 {
 		return o, answer
 	}
-	version, ok := f.g.s.Versions.Sole(f.pool)
+	version, ok := f.g.s.Versions.Sole(f.ctx, f.pool)
 	if !ok {
 		return o, answer
 	}
--- a/internal/gateway/version_test.go
+++ b/internal/gateway/version_test.go
@@ -136,7 +136,7 @@
 	return versioner.Origin{}, f.answer
 }
 
-func (f *fakeVersions) Sole(string) (string, bool) { return "", false }
+func (f *fakeVersions) Sole(context.Context, string) (string, bool) { return "", false }
 
 // Guards against a stream that is taken up at another version or pool than its first events,
 // also when it is taken up more than once.
--- a/internal/subscriber/subscriber.go
+++ b/internal/subscriber/subscriber.go
@@ -34,6 +34,7 @@
 	closeOnce sync.Once
 
 	mu         sync.Mutex
+	versions   versionsQuery
 	changed    chan struct{}
 	link       *link
 	nextHost   int // index of the host to connect to next
