--- a/internal/driver/driver_test.go
+++ b/internal/driver/driver_test.go
@@ -229,3 +229,37 @@
 		})
 	}
 }
+
+// Guards against a head that stops in its middle and is taken for that of a whole response, and
+// against the text of an error that is passed on as part of a stream.
+func TestCutHeadIsNoResponse(t *testing.T) {
+	for name, head := range map[string]string{
+		"length":     "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n",
+		"connection": "HTTP/1.1 200 OK\r\nA: b\r\n\r\n",
+		"LF":         "HTTP/1.1 200 OK\nContent-Length: 0\n\n",
+		"interim":    "HTTP/1.1 103 Early Hints\r\nContent-Length: 0\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n",
+	} {
+		for _, method := range []string{http.MethodPost, http.MethodHead} {
+			t.Run(name+"/"+method, func(t *testing.T) {
+				t.Parallel()
+				for cut := range len(head) {
+					addr := serveOnce(t, head[:cut], false, func() {})
+					got, err := driver.New(addr, time.Second).Run(t.Context(), driver.Call{Method: method, Path: "/x"})
+					if !errors.Is(err, driver.ErrConnBroken) {
+						t.Errorf("head cut after %q: got %v, %v, want a broken connection", head[:cut], got, err)
+					}
+				}
+			})
+		}
+	}
+	chunks := 0
+	c := newTestClient(t, respondWithError)
+	if _, err := c.Decode(t.Context(), driver.Decode{ID: "a", Offset: 2}, func(driver.Chunk) { chunks++ }); err == nil || chunks > 0 {
+		t.Errorf("resumed stream: got error %v after %d chunks, want an error and no chunk", err, chunks)
+	}
+}
+
+func respondWithError(w http.ResponseWriter, _ *http.Request) {
+	w.WriteHeader(http.StatusInternalServerError)
+	fmt.Fprintln(w, `{"seq":2,"text":"the engine failed","tokens":1}`)
+}
