--- a/internal/gateway/body_end_test.go
+++ b/internal/gateway/body_end_test.go
@@ -18,11 +18,15 @@
 
 	"github.com/damasklever/damasklever/internal/gateway"
 	"github.com/damasklever/damasklever/internal/placer"
+	"github.com/damasklever/damasklever/internal/testlistener"
 )
 
 const (
 	// bodyDeadline is the time that callers give a request whose answer stays unfinished.
 	bodyDeadline = 400 * time.Millisecond
+	// longDeadline is longer than the limits of all readers. Three reservations that are not
+	// answered, with the pauses between them, leave no time for a fourth.
+	longDeadline = 1440 * time.Millisecond
 	// shortlyBefore is how long before the deadline a server breaks its answer off.
 	shortlyBefore = 100 * time.Millisecond
 )
@@ -37,6 +41,7 @@
 	endedBeforeDeadline bodyEnd = "server, shortly before the deadline"
 	// endedAtToldDeadline means that the server stops at the deadline that it was told.
 	endedAtToldDeadline bodyEnd = "server, at its deadline"
+	endedByOwnLimit     bodyEnd = "limit of the reader"
 )
 
 // answerPart is the head and the first bytes of an answer whose body goes on.
@@ -80,7 +85,7 @@
 	case endedBeforeDeadline:
 		left -= shortlyBefore
 	case endedAtToldDeadline:
-	case endedByDeadline, endedByCaller:
+	case endedByDeadline, endedByCaller, endedByOwnLimit:
 		left = time.Hour
 	}
 	conn.SetReadDeadline(time.Now().Add(left))
@@ -190,7 +195,7 @@
 			path: "/stream/x", stage: placer.Prefill, part: text, prompt: 10_000, change: reading,
 			want: map[bodyEnd]string{
 				endedByDeadline: "not sent in time", endedAtToldDeadline: "not sent in time", endedByCaller: left,
-				endedByServer: "streamed", endedBeforeDeadline: "streamed",
+				endedByServer: "streamed", endedBeforeDeadline: "streamed", endedByOwnLimit: "streamed",
 			},
 		},
 		"reservation": {
@@ -198,12 +203,13 @@
 			reads: func(r *http.Request) bool { return strings.HasPrefix(r.URL.Path, "/reserve/") },
 			want: map[bodyEnd]string{
 				endedByDeadline: "no room in time", endedByCaller: left, endedByServer: "no room in time",
+				endedByOwnLimit: "no room: deadline",
 			},
 		},
 		"status": {
 			path: "/once/x", stage: placer.Plain, part: text, reads: isStatusRequest,
 			rest: answerStream(byConnection, "text/plain", "all"),
-			want: map[bodyEnd]string{endedByDeadline: late, endedByCaller: left, endedByServer: failed},
+			want: map[bodyEnd]string{endedByDeadline: late, endedByCaller: left, endedByServer: failed, endedByOwnLimit: failed},
 		},
 	}
 }
@@ -246,8 +252,12 @@
 		}
 	}, servers...)
 	wait := cmp.Or(reader.deadline, bodyDeadline)
-	if end == endedByCaller {
+	switch end {
+	case endedByCaller:
 		wait = time.Minute
+	case endedByOwnLimit:
+		wait = longDeadline
+	case endedByDeadline, endedByServer, endedBeforeDeadline, endedAtToldDeadline:
 	}
 	header := http.Header{"Wait": {strconv.FormatInt(wait.Milliseconds(), 10)}, "Prompt": {strconv.Itoa(reader.prompt)}}
 	if end == endedByCaller {
@@ -258,8 +268,9 @@
 	if got := ends.wait(t); len(got) != 1 || got[0] != want {
 		t.Errorf("end of the request: got %q, want %q", got, want)
 	}
-	if got, want := r.isHeldAgainst(t, servers[0]), end == endedByServer || end == endedBeforeDeadline; got != want {
-		t.Errorf("held against the server: got %v, want %v", got, want)
+	wantHeld := end == endedByServer || end == endedBeforeDeadline || end == endedByOwnLimit
+	if got := r.isHeldAgainst(t, servers[0]); got != wantHeld {
+		t.Errorf("held against the server: got %v, want %v", got, wantHeld)
 	}
 }
 
@@ -269,6 +280,7 @@
 	status := map[string]int{
 		"no answer in time": http.StatusGatewayTimeout, "the server failed": http.StatusBadGateway, "streamed": http.StatusOK,
 		"not sent in time": http.StatusServiceUnavailable, "no room in time": http.StatusServiceUnavailable,
+		"no room: deadline": http.StatusServiceUnavailable,
 	}
 	if want, ok := status[reason]; ok && (got.broken || got.status != want) {
 		t.Errorf("answer: got status %d, broken %v, want %d", got.status, got.broken, want)
@@ -360,3 +372,20 @@
 		}
 	}
 }
+
+// Guards against a connection that is closed without an answer when the deadline passes while
+// the connection to the server is opened.
+func TestDeadlineDuringConnect(t *testing.T) {
+	for path, stage := range map[string]placer.Stage{"/once/x": placer.Plain, "/read/x": placer.Plain, "/stream/x": placer.Decode} {
+		t.Run(path[1:], func(t *testing.T) {
+			t.Parallel()
+			s := placer.Server{ID: "a", Addr: testlistener.Full(t), Pool: "pool", Centre: "c", Region: "r", Stage: stage}
+			ends := newRequestEnds()
+			r := newTestGatewayWith(t, func(s *gateway.Settings) { s.Log = ends.logger() }, s)
+			checkEnd(t, r.call(t, http.MethodPost, path, "", http.Header{"Wait": {"150"}}), "not sent in time")
+			if got, want := ends.wait(t), "not sent in time"; len(got) != 1 || got[0] != want {
+				t.Errorf("end of the request: got %q, want %q", got, want)
+			}
+		})
+	}
+}
--- a/internal/requester/context_end_test.go
+++ b/internal/requester/context_end_test.go
@@ -8,13 +8,13 @@
 	"net"
 	"net/http"
 	"sync/atomic"
-	"syscall"
 	"testing"
 	"time"
 
 	"github.com/cockroachdb/errors"
 
 	"github.com/damasklever/damasklever/internal/requester"
+	"github.com/damasklever/damasklever/internal/testlistener"
 )
 
 var errGone = errors.New("gone")
@@ -121,45 +121,10 @@
 // Guards against a context that ends while a connection is opened, and is taken for a failure
 // of the server.
 func TestEndOfContextDuringConnect(t *testing.T) {
-	addr := fullListener(t)
+	addr := testlistener.Full(t)
 	ctx, cancel := context.WithCancelCause(t.Context())
 	defer time.AfterFunc(50*time.Millisecond, func() { cancel(errGone) }).Stop()
 	if _, err := do(ctx, newRequester(t), addr); !errors.Is(err, errGone) || !errors.Is(err, requester.ErrNotSent) {
 		t.Errorf("error: got %v, want the cause of the context, marked as not sent", err)
 	}
 }
-
-// fullListener returns the address of a listener that accepts no more connections.
-func fullListener(t *testing.T) string {
-	t.Helper()
-	fd, err := syscall.Socket(syscall.AF_INET, syscall.SOCK_STREAM|syscall.SOCK_CLOEXEC, 0)
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { syscall.Close(fd) })
-	if err := syscall.Bind(fd, &syscall.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}}); err != nil {
-		t.Fatal(err)
-	}
-	if err := syscall.Listen(fd, 0); err != nil {
-		t.Fatal(err)
-	}
-	bound, err := syscall.Getsockname(fd)
-	if err != nil {
-		t.Fatal(err)
-	}
-	in, ok := bound.(*syscall.SockaddrInet4)
-	if !ok {
-		t.Fatalf("address: got %T, want one of IPv4", bound)
-	}
-	addr := fmt.Sprintf("127.0.0.1:%d", in.Port)
-	for range 16 {
-		conn, err := net.DialTimeout("tcp", addr, 100*time.Millisecond)
-		if err != nil {
-			return addr
-		}
-		t.Cleanup(func() { conn.Close() })
-	}
-	t.Fatal("listener: got 16 connections, want it to be full")
-
-	return ""
-}
--- /dev/null
+++ b/internal/testlistener/testlistener.go
@@ -0,0 +1,49 @@
+// Package testlistener has listeners for tests.
+package testlistener
+
+import (
+	"fmt"
+	"net"
+	"syscall"
+	"testing"
+	"time"
+)
+
+// dialTimeout is the time after which a listener that does not accept counts as full.
+const dialTimeout = 100 * time.Millisecond
+
+// Full returns the address of a listener that accepts no more connections.
+func Full(t testing.TB) string {
+	t.Helper()
+	fd, err := syscall.Socket(syscall.AF_INET, syscall.SOCK_STREAM|syscall.SOCK_CLOEXEC, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = syscall.Close(fd) })
+	if err := syscall.Bind(fd, &syscall.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}}); err != nil {
+		t.Fatal(err)
+	}
+	if err := syscall.Listen(fd, 0); err != nil {
+		t.Fatal(err)
+	}
+	bound, err := syscall.Getsockname(fd)
+	if err != nil {
+		t.Fatal(err)
+	}
+	in, ok := bound.(*syscall.SockaddrInet4)
+	if !ok {
+		t.Fatalf("address: got %T, want one of IPv4", bound)
+	}
+	addr := fmt.Sprintf("127.0.0.1:%d", in.Port)
+	dialer := net.Dialer{Timeout: dialTimeout}
+	for range 16 {
+		conn, err := dialer.DialContext(t.Context(), "tcp", addr)
+		if err != nil {
+			return addr
+		}
+		t.Cleanup(func() { _ = conn.Close() })
+	}
+	t.Fatal("listener: got 16 connections, want it to be full")
+
+	return ""
+}
