Tests: one server of a single answer for two packages

Two packages had the same listener that answers one request and ends; it is in internal/testlistener now. No test has changed in what it checks.

--- a/internal/driver/context_end_test.go
+++ b/internal/driver/context_end_test.go
@@ -1,11 +1,8 @@
 package driver_test
 
 import (
-	"bufio"
 	"context"
 	"fmt"
-	"io"
-	"net"
 	"net/http"
 	"sync/atomic"
 	"testing"
@@ -14,6 +11,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/damasklever/damasklever/internal/driver"
+	"github.com/damasklever/damasklever/internal/testlistener"
 )
 
 var errTimeout = errors.New("timeout")
@@ -73,7 +71,7 @@
 					if byServer {
 						ctx, end = late, func() { late.ended.Store(true) }
 					}
-					err := run(ctx, driver.New(serveOnce(t, text, !byServer, end), time.Second))
+					err := run(ctx, driver.New(testlistener.ServeOnce(t, text, !byServer, end), time.Second))
 					want := errTimeout
 					if byServer {
 						want = driver.ErrConnBroken
@@ -86,33 +84,3 @@
 		}
 	}
 }
-
-// serveOnce accepts one connection, reads a request and sends text. Then it calls sent and
-// closes the connection, or holds it if hold is set.
-func serveOnce(t *testing.T, text string, hold bool, sent func()) string {
-	t.Helper()
-	l, err := (&net.ListenConfig{}).Listen(t.Context(), "tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { l.Close() })
-	go func() {
-		conn, err := l.Accept()
-		if err != nil {
-			return
-		}
-		defer conn.Close()
-		r, err := http.ReadRequest(bufio.NewReader(conn))
-		if err != nil {
-			return
-		}
-		io.Copy(io.Discard, r.Body)
-		io.WriteString(conn, text)
-		sent()
-		if hold {
-			io.Copy(io.Discard, conn)
-		}
-	}()
-
-	return l.Addr().String()
-}
--- a/internal/driver/driver_test.go
+++ b/internal/driver/driver_test.go
@@ -14,6 +14,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/damasklever/damasklever/internal/driver"
+	"github.com/damasklever/damasklever/internal/testlistener"
 	"github.com/damasklever/damasklever/internal/timer"
 )
 
@@ -243,7 +244,7 @@
 			t.Run(name+"/"+method, func(t *testing.T) {
 				t.Parallel()
 				for cut := range len(head) {
-					addr := serveOnce(t, head[:cut], false, func() {})
+					addr := testlistener.ServeOnce(t, head[:cut], false, func() {})
 					got, err := driver.New(addr, time.Second).Run(t.Context(), driver.Call{Method: method, Path: "/x"})
 					if !errors.Is(err, driver.ErrConnBroken) {
 						t.Errorf("head cut after %q: got %v, %v, want a broken connection", head[:cut], got, err)
--- a/internal/requester/context_end_test.go
+++ b/internal/requester/context_end_test.go
@@ -1,11 +1,9 @@
 package requester_test
 
 import (
-	"bufio"
 	"context"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"sync/atomic"
 	"testing"
@@ -35,34 +33,6 @@
 	return nil
 }
 
-// serveOnce accepts one connection, reads a request and sends text. Then it calls sent and
-// closes the connection, or holds it if hold is set.
-func serveOnce(t *testing.T, text string, hold bool, sent func()) string {
-	t.Helper()
-	l, err := (&net.ListenConfig{}).Listen(t.Context(), "tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { l.Close() })
-	go func() {
-		conn, err := l.Accept()
-		if err != nil {
-			return
-		}
-		defer conn.Close()
-		if _, err := http.ReadRequest(bufio.NewReader(conn)); err != nil {
-			return
-		}
-		io.WriteString(conn, text)
-		sent()
-		if hold {
-			io.Copy(io.Discard, conn)
-		}
-	}()
-
-	return l.Addr().String()
-}
-
 // Guards against taking the end of a context, while a response is read, for a failure of the
 // server, and against excusing a server because the context has ended since.
 func TestEndOfContext(t *testing.T) {
@@ -97,7 +67,7 @@
 				if test.inBody {
 					sent = func() {}
 				}
-				r, err := newRequester(t).Do(ctx, serveOnce(t, test.text, !byServer, sent), &requester.Request{
+				r, err := newRequester(t).Do(ctx, testlistener.ServeOnce(t, test.text, !byServer, sent), &requester.Request{
 					Method: http.MethodGet, Target: "/", Host: "h", Header: http.Header{headID: {"a"}},
 				})
 				if (err == nil) != test.inBody {
--- a/internal/testlistener/testlistener.go
+++ b/internal/testlistener/testlistener.go
@@ -2,8 +2,11 @@
 package testlistener
 
 import (
+	"bufio"
 	"fmt"
+	"io"
 	"net"
+	"net/http"
 	"syscall"
 	"testing"
 	"time"
@@ -47,3 +50,33 @@
 
 	return ""
 }
+
+// ServeOnce accepts one connection, reads a request and sends text. Then it calls sent and
+// closes the connection, or holds it if hold is set. It returns the address.
+func ServeOnce(t testing.TB, text string, hold bool, sent func()) string {
+	t.Helper()
+	l, err := (&net.ListenConfig{}).Listen(t.Context(), "tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = l.Close() })
+	go func() {
+		conn, err := l.Accept()
+		if err != nil {
+			return
+		}
+		defer func() { _ = conn.Close() }()
+		r, err := http.ReadRequest(bufio.NewReader(conn))
+		if err != nil {
+			return
+		}
+		_, _ = io.Copy(io.Discard, r.Body)
+		_, _ = io.WriteString(conn, text)
+		sent()
+		if hold {
+			_, _ = io.Copy(io.Discard, conn)
+		}
+	}()
+
+	return l.Addr().String()
+}
