Answer each request that was read whole before an entry closes

What callers saw: at the end of an entry's grace period, requests that had been accepted ended with a closed connection and not one byte; requests whose last byte came late were still passed on, also such that must not be repeated (LOST).

Cause: Drain waited for callers until its context ended, and Close then cancelled and closed everything at once, so nobody was left to write a final status. Nothing that reads, waits or sends asked how much of the grace period was left. Class of fault: a deadline that one function keeps to itself, so that its end comes from outside for all others.

What has not run gets 503 with Retry-After, what may have run 504, and a stream that has begun is broken off. A body that is still being read then is refused. - After the time for new requests, a request is passed on only if its deadline is before the end. - Nothing is sent, and no memory or turn is waited for, if the answer is not expected before the end: by the length of a model answer, otherwise by the 95th percentile of the path's last 64 answers. - Close without a drain answers what is in flight, too.

--- a/internal/gateway/forwarder.go
+++ b/internal/gateway/forwarder.go
@@ -12,6 +12,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/damasklever/damasklever/internal/digester"
+	"github.com/damasklever/damasklever/internal/drainer"
 	"github.com/damasklever/damasklever/internal/matcher"
 	"github.com/damasklever/damasklever/internal/placer"
 	"github.com/damasklever/damasklever/internal/requester"
@@ -41,6 +42,8 @@
 	segments []string
 	arrived  time.Time
 	deadline time.Time
+	// attemptAt is when the last attempt to run the request began.
+	attemptAt time.Time
 	// sends is the number of servers that the request was sent to.
 	sends int
 	// waitedForGrant is set once the request has waited for a server that limits its requests.
@@ -77,6 +80,11 @@
 	if !f.readRequest() { //nolint:contextcheck // uses the context of the request
 		return
 	}
+	if !g.s.Drainer.Accepts(f.timeLeft()) {
+		f.refuse(reasonStopping, g.s.RetryAfter)
+
+		return
+	}
 	if !f.admit() {
 		return
 	}
@@ -136,13 +144,16 @@
 		return false
 	}
 	f.pool = matcher.ChoosePool(f.path, randomFraction())
-	limit := boundsOf(plan.Bounds()).body
-	body, err := io.ReadAll(http.MaxBytesReader(f.w, f.r.Body, limit))
+	body, err := f.readBody(boundsOf(plan.Bounds()).body)
 	var tooLarge *http.MaxBytesError
 	switch {
 	case errors.As(err, &tooLarge):
 		f.fail(http.StatusRequestEntityTooLarge, "the body is over the limit")
 
+		return false
+	case err != nil && errors.Is(context.Cause(f.r.Context()), drainer.ErrStopping):
+		f.refuse(reasonStopping, f.g.s.RetryAfter)
+
 		return false
 	case err != nil:
 		f.fail(http.StatusBadRequest, "the body cannot be read")
@@ -162,6 +173,17 @@
 	return true
 }
 
+// readBody reads the body of the request until its end or until the request must be answered.
+func (f *forwarder) readBody(limit int64) ([]byte, error) {
+	if f.r.Body == http.NoBody {
+		return nil, nil
+	}
+	rc := http.NewResponseController(f.w)
+	defer context.AfterFunc(f.r.Context(), func() { _ = rc.SetReadDeadline(time.Unix(1, 0)) })()
+
+	return io.ReadAll(http.MaxBytesReader(f.w, f.r.Body, limit)) //nolint:wrapcheck // the error is not passed on
+}
+
 // requestTarget returns the path and query as the caller sent them, or "" if the target has
 // no path.
 func requestTarget(r *http.Request) string {
@@ -188,7 +210,7 @@
 // mayRetry reports whether the request may be sent again after an attempt in which it has
 // not run, or after any attempt if it is safe to repeat. It charges the retry budget.
 func (f *forwarder) mayRetry() bool {
-	return f.ctx.Err() == nil && f.attemptsLeft() && f.timeLeft() > minRetryTime && f.g.takeRetry(f.pool)
+	return f.ctx.Err() == nil && f.attemptsLeft() && f.timeLeft() > minRetryTime && f.fits() && f.g.takeRetry(f.pool)
 }
 
 // minRetryTime is the shortest time in which another attempt can still bring an answer.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -17,6 +17,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 
 	"github.com/damasklever/damasklever/internal/admitter"
+	"github.com/damasklever/damasklever/internal/drainer"
 )
 
 // Gateway accepts callers' requests and forwards them to backend servers.
@@ -32,14 +33,18 @@
 	crashReporter *crashReporter
 	grantWaiters  grantWaiters
 	connListener  *connListener
-
-	leaving   atomic.Bool
-	active    atomic.Int64    // requests in flight
-	ctx       context.Context //nolint:containedctx // ends with the gateway
-	cancel    context.CancelFunc
-	done      chan struct{}
-	closeOnce sync.Once
-	tasks     sync.WaitGroup
+	answerTimes   *answerTimes
+
+	leaving atomic.Bool
+	active  atomic.Int64    // requests in flight
+	ctx     context.Context //nolint:containedctx // ends with the gateway
+	cancel  context.CancelFunc
+	// requestCtx is the parent of the contexts of requests. It ends when they must be answered.
+	requestCtx  context.Context //nolint:containedctx // ends with the requests
+	endRequests context.CancelCauseFunc
+	done        chan struct{}
+	closeOnce   sync.Once
+	tasks       sync.WaitGroup
 
 	mu            sync.Mutex
 	retryBudgets  map[string]*admitter.Budget // retry budgets by pool
@@ -60,7 +65,7 @@
 		s: s, metrics: newMetrics(), done: make(chan struct{}), retryBudgets: make(map[string]*admitter.Budget),
 		grantRefusals: make(map[string]time.Time),
 		acceptDone:    make(chan struct{}), conns: newConnTracker(), backlog: newBacklog(),
-		grantWaiters: grantWaiters{count: make(map[string]int)},
+		grantWaiters: grantWaiters{count: make(map[string]int)}, answerTimes: newAnswerTimes(),
 	}
 	if err := registry.Register(g.metrics); err != nil {
 		return nil, errors.Newf("register metrics of gateway: %w", err)
@@ -70,6 +75,9 @@
 		return nil, err
 	}
 	g.ctx, g.cancel = context.WithCancel(context.Background())
+	ctx, release := s.Drainer.Bound(g.ctx, 0)
+	g.requestCtx, g.endRequests = context.WithCancelCause(ctx)
+	context.AfterFunc(g.ctx, release)
 
 	return g, nil
 }
@@ -145,16 +153,22 @@
 // acceptRetryDelay is the pause after a failed accept.
 const acceptRetryDelay = 20 * time.Millisecond
 
-// firstRequestWait is how long Drain waits for the first request on connections that were
-// accepted just before it: a few round trips, wherever the caller is.
-const firstRequestWait = 300 * time.Millisecond
+const (
+	// FirstRequestWait is how long Drain waits for the first request on connections that were
+	// accepted just before it: a few round trips, wherever the caller is.
+	FirstRequestWait = 300 * time.Millisecond
+	// answerTime is how long the requests in flight have to write their final answers when the
+	// gateway is closed without a drain, or when a drain ends early.
+	answerTime = 250 * time.Millisecond
+)
 
 // Drain stops accepting and closes idle connections, waits until each request that callers
-// have sent is answered or ctx ends, and closes the gateway.
+// have sent is answered, and closes the gateway. Requests that are in flight when the time of
+// Settings.Drainer ends get a final answer then. ctx limits the wait for all answers.
 func (g *Gateway) Drain(ctx context.Context) error {
 	g.BeginDrain()
 	_ = g.listener.Close()
-	defer g.Close()
+	defer g.Close() //nolint:contextcheck // the last answers have their own time limit
 	<-g.acceptDone
 	g.mu.Lock()
 	for _, server := range g.servers {
@@ -162,7 +176,7 @@
 		server.SetKeepAlivesEnabled(false)
 	}
 	g.mu.Unlock()
-	first, cancel := context.WithTimeout(ctx, firstRequestWait)
+	first, cancel := context.WithTimeout(ctx, FirstRequestWait)
 	defer cancel()
 	if g.conns.wait(first, http.StateNew) != nil {
 		g.s.Log.Info().Int("callers", g.conns.closeWithoutRequest()).Msg("closed connections without a request")
@@ -174,10 +188,17 @@
 	return nil
 }
 
-// Close closes all connections and waits for the goroutines of the gateway.
+// Close answers the requests in flight, closes all connections and waits for the goroutines of
+// the gateway.
 func (g *Gateway) Close() {
 	g.closeOnce.Do(func() {
 		g.BeginDrain()
+		if g.requestCtx.Err() == nil {
+			g.endRequests(drainer.ErrStopping)
+			ctx, cancel := context.WithTimeout(context.Background(), answerTime)
+			_ = g.conns.wait(ctx, http.StateActive)
+			cancel()
+		}
 		g.cancel()
 		g.crashReporter.close()
 		if g.listener != nil {
--- a/internal/gateway/placement.go
+++ b/internal/gateway/placement.go
@@ -223,7 +223,9 @@
 	// The agent only refuses requests that would be too late even for the caller's patience:
 	// its estimate is too rough to give up a request that may still meet its target.
 	a.Due = f.patience() - spent
-	ctx, cancel := context.WithCancelCause(f.ctx)
+	bound, release := f.g.s.Drainer.Bound(f.ctx, f.expectedTime(false))
+	defer release()
+	ctx, cancel := context.WithCancelCause(bound)
 	defer cancel(nil)
 	defer f.g.s.Timer.After(limit-spent, func(time.Time) { cancel(errTooLate) })()
 	grant, err := f.g.s.Agents.Ask(ctx, a, servers)
@@ -288,7 +290,9 @@
 		ID: f.hints.ID, Phase: wire.Phase_PHASE_PREFILL, Rank: rank, Tokens: 1, Cost: f.prefillTime(), Service: f.pool,
 		Caller: "-", Due: prefillWaitFactor*f.prefillTime() + firstEventOverhead,
 	}
-	grant, err := f.g.s.Agents.Ask(f.ctx, a, servers)
+	ctx, release := f.g.s.Drainer.Bound(f.ctx, f.expectedTime(false))
+	defer release()
+	grant, err := f.g.s.Agents.Ask(ctx, a, servers)
 	f.logAsk(a, servers, grant, err)
 	if err != nil {
 		return
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -7,6 +7,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/damasklever/damasklever/internal/drainer"
 	"github.com/damasklever/damasklever/internal/matcher"
 	"github.com/damasklever/damasklever/internal/placer"
 	"github.com/damasklever/damasklever/internal/requester"
@@ -41,11 +42,13 @@
 	outcomeCallerGone
 	// outcomeDeadline means that the deadline has passed and the request may have run.
 	outcomeDeadline
+	// outcomeStopping means that the time of the shutdown does not suffice, or has ended.
+	outcomeStopping
 )
 
 // String returns the name of the outcome for logs and metrics.
 func (o outcome) String() string {
-	return [...]string{"answered", "failed", "refused", "unsent", "broken", "gone", "due"}[o]
+	return [...]string{"answered", "failed", "refused", "unsent", "broken", "gone", "due", "stopping"}[o]
 }
 
 // isServerFailure reports whether the server is to blame.
@@ -58,8 +61,8 @@
 func (f *forwarder) servePlain() {
 	var failure *bufferedResponse // passed on if the next attempt is no better
 	for unreachable := 0; unreachable < maxUnreachable && f.blocked() == 0; {
-		now := f.g.s.Timer.Now()
-		c, ok := f.g.s.Placer.PickPlain(now, placer.Query{Pool: f.pool, Avoid: f.tried})
+		f.attemptAt = f.g.s.Timer.Now()
+		c, ok := f.g.s.Placer.PickPlain(f.attemptAt, placer.Query{Pool: f.pool, Avoid: f.tried})
 		if !ok {
 			if f.awaitGrant() {
 				continue
@@ -69,7 +72,7 @@
 		}
 		got, o, err := f.callServer(c.Server)
 		f.g.s.Placer.EndRequest(c.Server.ID)
-		f.logSend(c, now, o, err)
+		f.logSend(c, f.attemptAt, o, err)
 		if o == outcomeFailed {
 			failure = got
 		}
@@ -97,7 +100,7 @@
 	switch o := f.unservedOutcome(); {
 	case o == outcomeCallerGone:
 		f.finishCallerGone()
-	case f.sends > 0 || o == outcomeDeadline:
+	case f.sends > 0 || o == outcomeDeadline || o == outcomeStopping:
 		f.finishWithoutRetry(failure, o)
 	default:
 		f.unreachable()
@@ -106,11 +109,14 @@
 
 // unservedOutcome returns the outcome of a request for which there is no server to send it to.
 func (f *forwarder) unservedOutcome() outcome {
-	if f.ctx.Err() != nil {
+	switch {
+	case f.ctx.Err() != nil:
 		return f.contextOutcome()
+	case !f.fits():
+		return outcomeStopping
+	default:
+		return outcomeBroken
 	}
-
-	return outcomeBroken
 }
 
 // unreachable refuses a request that reached no server.
@@ -130,10 +136,14 @@
 		f.writeResponse(failure)
 	case !f.mayHaveRun && o == outcomeDeadline:
 		f.refuse("not sent in time", f.g.s.RetryAfter)
+	case !f.mayHaveRun && o == outcomeStopping:
+		f.refuse(reasonStopping, f.g.s.RetryAfter)
 	case !f.mayHaveRun:
 		f.refuse("server refused", f.g.s.RetryAfter)
 	case o == outcomeDeadline:
 		f.fail(http.StatusGatewayTimeout, "no answer in time")
+	case o == outcomeStopping:
+		f.fail(http.StatusGatewayTimeout, "no answer before the end of the shutdown")
 	default:
 		f.fail(http.StatusBadGateway, "the server failed")
 	}
@@ -222,6 +232,8 @@
 		return outcomeCallerGone
 	case errors.Is(err, errDeadline):
 		return outcomeDeadline
+	case errors.Is(err, drainer.ErrStopping):
+		return outcomeStopping
 	case endedByContext(f.ctx, err):
 		return f.contextOutcome()
 	case errors.Is(err, requester.ErrNotSent):
--- a/internal/gateway/reservation.go
+++ b/internal/gateway/reservation.go
@@ -8,6 +8,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/damasklever/damasklever/internal/drainer"
 	"github.com/damasklever/damasklever/internal/grantclient"
 	"github.com/damasklever/damasklever/internal/placer"
 )
@@ -75,6 +76,9 @@
 // can no longer arrive within limit, counted from the arrival of the request.
 func (f *forwarder) reserveWithin(q placer.Query, ttl, limit time.Duration) (*placement, error) {
 	for f.ctx.Err() == nil {
+		if !f.fits() {
+			return nil, drainer.ErrStopping
+		}
 		if f.g.s.Timer.Now().Sub(f.arrived)+f.timeToFirstEvent() >= limit {
 			return nil, errTooLate
 		}
--- a/internal/gateway/response.go
+++ b/internal/gateway/response.go
@@ -189,6 +189,9 @@
 func (f *forwarder) finish(reason string, status int, err error) {
 	took := f.g.s.Timer.Now().Sub(f.arrived)
 	f.g.metrics.observe(f.pool, f.rank(), status, took)
+	if f.sends > 0 && (status == http.StatusGatewayTimeout || status > 0 && status < http.StatusInternalServerError) {
+		f.g.answerTimes.record(f.path.GetName(), f.g.s.Timer.Now().Sub(f.attemptAt))
+	}
 	entry := f.g.s.Log.Info().Str("id", f.hints.ID).Str("path", f.path.GetName()).Str("pool", f.pool).
 		Uint64("plan", f.planVersion).Int32("rank", f.rank()).Int("status", status).Int("sends", f.sends).
 		Int("prompt", f.hints.Prompt).Int("limit", f.hints.MaxOutputTokens).Int("guess", f.hints.OutputEstimate).
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -11,6 +11,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/damasklever/damasklever/internal/correlator"
+	"github.com/damasklever/damasklever/internal/drainer"
 	"github.com/damasklever/damasklever/internal/placer"
 	"github.com/damasklever/damasklever/internal/requester"
 )
@@ -26,8 +27,9 @@
 )
 
 // send sends the request to a server and applies the notice in its response. It fails if the
-// server has announced its shutdown or asked for a pause since it was chosen, or if there is no
-// time left that the server could be told.
+// server has announced its shutdown or asked for a pause since it was chosen, if there is no
+// time left that the server could be told, or if the answer would come after the end of this
+// process.
 func (f *forwarder) send(ctx context.Context, s *placer.Server, send Attempt) (*requester.Response, error) {
 	if f.g.s.Placer.Unavailable(f.g.s.Timer.Now(), s.ID) {
 		return nil, errors.Mark(errors.Newf("send to %s: %w", s.ID, errServerUnavailable), requester.ErrNotSent)
@@ -38,6 +40,9 @@
 	if f.timeLeft() < deadlineUnit {
 		return nil, errors.Mark(errors.Newf("send to %s: %w", s.ID, errDeadline), requester.ErrNotSent)
 	}
+	if !f.g.s.Drainer.Fits(f.expectedTime(send.Handle != "")) {
+		return nil, errors.Mark(errors.Newf("send to %s: %w", s.ID, drainer.ErrStopping), requester.ErrNotSent)
+	}
 	// A reservation has counted for its request too.
 	charged := 1.0
 	if send.ReservationID != "" {
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -58,6 +58,7 @@
 	if plan == nil || g.ctx.Err() != nil {
 		return
 	}
+	g.answerTimes.retain(plan.Paths())
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if next := boundsOf(plan.Bounds()); next != g.bounds {
@@ -79,7 +80,7 @@
 		IdleTimeout:       b.idleTimeout,
 		MaxHeaderBytes:    int(max(b.header-netHTTPHeaderSlack, netHTTPHeaderSlack)),
 		ErrorLog:          log.New(io.Discard, "", 0),
-		BaseContext:       func(net.Listener) context.Context { return g.ctx },
+		BaseContext:       func(net.Listener) context.Context { return g.requestCtx },
 		ConnContext:       withConn,
 		ConnState:         g.conns.setState,
 		// "OPTIONS *" is forwarded like any other request.
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -7,6 +7,7 @@
 	"github.com/phuslu/log"
 
 	"github.com/damasklever/damasklever/internal/defaulter"
+	"github.com/damasklever/damasklever/internal/drainer"
 	"github.com/damasklever/damasklever/internal/logger"
 	"github.com/damasklever/damasklever/internal/matcher"
 	"github.com/damasklever/damasklever/internal/placer"
@@ -43,6 +44,8 @@
 	// CrashLedger is the record of requests that crash servers; nil to keep none.
 	CrashLedger CrashLedger
 	Timer       timer.Service
+	// Drainer keeps the time of the shutdown of the process; nil if Drain has no time limit.
+	Drainer *drainer.Drainer
 	// Log receives one line for each decision; nil discards them.
 	Log *log.Logger
 	// RetryRatio is the fraction of a pool's requests that all gateways together may retry, and
@@ -126,6 +129,9 @@
 	if s.CrashLedger == nil {
 		s.CrashLedger = noCrashLedger{}
 	}
+	if s.Drainer == nil && s.Timer != nil {
+		s.Drainer = drainer.New(s.Timer)
+	}
 	defaulter.Default(&s.WriteTimeout, defaultWriteTimeout)
 	defaulter.Default(&s.OutputReserve, defaultOutputReserve)
 	defaulter.Default(&s.OutputTokenTime, defaultOutputTokenTime)
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -8,6 +8,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/damasklever/damasklever/internal/drainer"
 	"github.com/damasklever/damasklever/internal/grantclient"
 	"github.com/damasklever/damasklever/internal/placer"
 	"github.com/damasklever/damasklever/internal/requester"
@@ -30,12 +31,12 @@
 
 			return
 		}
-		now := f.g.s.Timer.Now()
+		f.attemptAt = f.g.s.Timer.Now()
 		c := p.choice
 		got, o, err := f.generate(p, out)
 		p.release(o)
 		f.g.s.Placer.EndRequest(c.Server.ID)
-		f.logSend(c, now, o, err)
+		f.logSend(c, f.attemptAt, o, err)
 		if o == outcomeFailed {
 			failure = got
 		}
@@ -70,7 +71,7 @@
 	switch o := f.unservedOutcome(); {
 	case out.started || o == outcomeCallerGone:
 		f.endUnfinished(o)
-	case f.sends > 0:
+	case f.sends > 0 || o == outcomeStopping:
 		f.finishWithoutRetry(failure, o)
 	case errors.As(err, &refused):
 		f.refuse("no room: "+refused.Reason, max(refused.After, f.g.s.RetryAfter))
@@ -92,11 +93,11 @@
 			send.Source, send.Handle = c.Prefill.Addr, handle
 		}
 	}
-	if f.ctx.Err() != nil {
+	if cause := f.endCause(send.Handle != ""); cause != nil {
 		f.freePrompt(c.Prefill, send.Handle)
 		f.dropReservation(c.Server, p.reservationID)
 
-		return nil, f.contextOutcome(), context.Cause(f.ctx)
+		return nil, f.errorOutcome(cause), cause
 	}
 	got, o, err := f.decode(c, send, out)
 	if o == outcomeRefused && send.Handle != "" {
@@ -167,11 +168,14 @@
 
 // contextOutcome returns the outcome for a request whose context has ended.
 func (f *forwarder) contextOutcome() outcome {
-	if errors.Is(context.Cause(f.ctx), errDeadline) {
+	switch cause := context.Cause(f.ctx); {
+	case errors.Is(cause, errDeadline):
 		return outcomeDeadline
+	case errors.Is(cause, drainer.ErrStopping):
+		return outcomeStopping
+	default:
+		return outcomeCallerGone
 	}
-
-	return outcomeCallerGone
 }
 
 // freePrompt frees a processed prompt that will not be used, without waiting until its server
--- a/internal/gateway/throttle.go
+++ b/internal/gateway/throttle.go
@@ -118,7 +118,7 @@
 	}
 	defer f.g.grantWaiters.leave(f.pool)
 	f.waitedForGrant = true
-	for f.ctx.Err() == nil && f.timeLeft() > minRetryTime && f.g.s.Timer.Now().Sub(start) < maxGrantWait {
+	for f.ctx.Err() == nil && f.timeLeft() > minRetryTime && f.fits() && f.g.s.Timer.Now().Sub(start) < maxGrantWait {
 		f.sleep(grantPollInterval)
 		if len(f.g.s.Placer.Exhausted(f.g.s.Timer.Now(), q)) == 0 {
 			return true
--- a/internal/matcher/matcher.go
+++ b/internal/matcher/matcher.go
@@ -158,6 +158,9 @@
 // Pools returns all pools.
 func (m *Matcher) Pools() []*wire.Pool { return m.plan.GetPools() }
 
+// Paths returns all paths.
+func (m *Matcher) Paths() []*wire.Path { return m.plan.GetPaths() }
+
 // Match returns the path of host with the longest prefix of target, or nil. A port
 // in host is ignored. The cost depends only on the number of slashes in target.
 func (m *Matcher) Match(host, target string) *wire.Path {
