End waits for memory that began before a shutdown when it has no time for the answer

What callers saw: a request that was waiting for the memory of a model server when its entry got its SIGTERM was refused only when its wait had become too late for other reasons, or at the end of the shutdown, although nothing could be sent any more long before.

Cause: Drainer.Bound got the expected time of the answer when the wait began, and that was 0 unless the process was already stopping.

Change: expectedTime always returns the estimate. Only fits skips it while the process is not stopping.

--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -40,7 +40,7 @@
 	if f.timeLeft() < deadlineUnit {
 		return nil, errors.Mark(errors.Newf("send to %s: %w", s.ID, errDeadline), requester.ErrNotSent)
 	}
-	if !f.g.s.Drainer.Fits(f.expectedTime(send.Handle != "")) {
+	if !f.fitsFrom(send.Handle != "") {
 		return nil, errors.Mark(errors.Newf("send to %s: %w", s.ID, drainer.ErrStopping), requester.ErrNotSent)
 	}
 	// A reservation has counted for its request too.
--- a/internal/gateway/shutdown.go
+++ b/internal/gateway/shutdown.go
@@ -15,7 +15,12 @@
 
 // fits reports whether the answer to a request that is sent now is expected before the end of
 // the shutdown.
-func (f *forwarder) fits() bool { return f.g.s.Drainer.Fits(f.expectedTime(false)) }
+func (f *forwarder) fits() bool { return f.fitsFrom(false) }
+
+// fitsFrom is like fits. promptRead states that the prompt has been processed.
+func (f *forwarder) fitsFrom(promptRead bool) bool {
+	return !f.g.s.Drainer.Stopping() || f.g.s.Drainer.Fits(f.expectedTime(promptRead))
+}
 
 // endCause returns why the request must not be sent any more, nil if it may be. promptRead
 // states that its prompt has been processed.
@@ -23,7 +28,7 @@
 	if cause := context.Cause(f.ctx); cause != nil {
 		return cause //nolint:wrapcheck // the cause is compared
 	}
-	if !f.g.s.Drainer.Fits(f.expectedTime(promptRead)) {
+	if !f.fitsFrom(promptRead) {
 		return drainer.ErrStopping
 	}
 
@@ -34,8 +39,6 @@
 // is sent. promptRead states that its prompt has been processed.
 func (f *forwarder) expectedTime(promptRead bool) time.Duration {
 	switch {
-	case !f.g.s.Drainer.Stopping():
-		return 0
 	case f.hints.MaxOutputTokens == 0:
 		return f.g.answerTimes.expected(f.path.GetName())
 	case promptRead:
