controller: name the members of a new cluster only once they are on disk

Callers would see: after a first start during which the disk of one control host was full, all changes are refused to the end, while all processes run and all disks have room.

Cause: bootstrap told other hosts the members before it wrote them. A host that hears of members takes the cluster for existing, waits to be added, and tells others the same. If the write then failed, the host that had named them opened again, heard them back from the others, and waited too.

Change: the members are named once they are on disk. While they are being written, the answer to an identity request is empty and the asking host repeats it, so a host that loses its disk in that time can't take the cluster for a new one either.

--- a/internal/controller/bootstrap.go
+++ b/internal/controller/bootstrap.go
@@ -38,14 +38,17 @@
 	if err != nil || members == nil {
 		return err
 	}
+	c.founding.Store(true)
 	if err := c.rec.Save(&wire.Vote{Term: firstTerm}, nil); err != nil {
 		return errors.Newf("bootstrap cluster: %w", err)
 	}
-	c.knownMembers.Store(members)
 	err = c.rec.Snapshot(&wire.Snapshot{Index: firstIndex, Term: firstTerm, Members: members})
 	if err != nil {
 		return errors.Newf("bootstrap cluster: %w", err)
 	}
+	// The other hosts wait for a cluster once they have been told its members, so these must
+	// be on disk first.
+	c.knownMembers.Store(members)
 
 	return nil
 }
@@ -127,7 +130,13 @@
 
 // identityReply answers a host that is new or about to be added. A host whose data
 // directory names members must report them even before its log runs; otherwise a
-// host that lost its disk could bootstrap a second cluster with it.
+// host that lost its disk could bootstrap a second cluster with it. While they are being
+// written, the answer is empty and the other host asks again.
 func (c *Controller) identityReply() *wire.Greeting {
-	return &wire.Greeting{Id: c.self.GetId(), Number: c.s.Number, Members: c.knownMembers.Load()}
+	founding, members := c.founding.Load(), c.knownMembers.Load()
+	if founding && members == nil {
+		return &wire.Greeting{}
+	}
+
+	return &wire.Greeting{Id: c.self.GetId(), Number: c.s.Number, Members: members}
 }
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -61,6 +61,7 @@
 	done         chan struct{}
 	closeOnce    sync.Once
 	bootstrapped atomic.Bool
+	founding     atomic.Bool                  // set before the first members are written
 	knownMembers atomic.Pointer[wire.Members] // nil until the members of the cluster are known
 	mu           sync.Mutex
 	err          error
