listener: keep a pipelined request that a drain finds half received

A caller that sent the beginning of a request in the same packet as the end of the one before it had its connection closed during a drain, in the middle of that request and without an answer.

The connection counts as receiving until a request was completed by the last read. What follows the completed request in the same read was not looked at, so the connection seemed idle. Now the method of a request marks it as begun, until the request is complete.

TestDrainKeepsPipelinedRequest fails always without the change ("unexpected EOF").

--- a/internal/listener/connection.go
+++ b/internal/listener/connection.go
@@ -86,7 +86,7 @@
 	inHeader := !c.inputChecker.inBody && !c.inputChecker.completed
 	c.inputChecker.headerLines.retain(continued, inHeader)
 	c.updateHeaderTimer(inHeader)
-	c.receiving.Store(!c.inputChecker.completed)
+	c.receiving.Store(!c.inputChecker.completed || c.inputChecker.begun)
 	// Set after receiving, so that a drain never sees the connection as used but idle
 	// while its first request is being received.
 	c.receivedData.Store(true)
--- a/internal/listener/inputchecker.go
+++ b/internal/listener/inputchecker.go
@@ -27,7 +27,8 @@
 	inHeader       int // bytes read since the start of the headers
 	headerSize     int // size of the headers parsed so far
 	inBody         bool
-	completed      bool
+	completed      bool // a request was completed by the last read
+	begun          bool // the method of a request has been read, but not its end
 	bodyLimit      int64
 	bodySize       int64
 	lengthHeaders  int  // number of Content-Length and Transfer-Encoding headers
@@ -72,6 +73,12 @@
 	return &rejection{http.StatusRequestHeaderFieldsTooLarge, "the headers are over the limit"}
 }
 
+// OnMethod implements nbhttp.Processor.
+func (i *inputChecker) OnMethod(parser *nbhttp.Parser, method string) {
+	i.begun = true
+	i.Processor.OnMethod(parser, method)
+}
+
 // OnURL implements nbhttp.Processor.
 func (i *inputChecker) OnURL(parser *nbhttp.Parser, uri string) error {
 	path, _, _ := strings.Cut(uri, "?")
@@ -152,7 +159,7 @@
 
 // OnComplete implements nbhttp.Processor.
 func (i *inputChecker) OnComplete(parser *nbhttp.Parser) {
-	i.inBody, i.completed = false, true
+	i.inBody, i.begun, i.completed = false, false, true
 	if i.rejection != nil {
 		i.Clean(parser)
 
--- a/internal/listener/listener_test.go
+++ b/internal/listener/listener_test.go
@@ -461,3 +461,27 @@
 		t.Errorf("connections without a response: got %d of %d, want %d", got, workers*each, want)
 	}
 }
+
+// Guards against a drain that closes a connection in the middle of a pipelined request.
+func TestDrainKeepsPipelinedRequest(t *testing.T) {
+	l, _ := start(t, echoBackend(), listener.Settings{})
+	second := post("/s/d/p", "x")
+	caller, callerReader := connect(t, l)
+	io.WriteString(caller, "GET / HTTP/1.1\r\nHost: h\r\n\r\n"+second[:len(second)-1])
+	receive(t, callerReader)
+	idle, idleReader := connect(t, l)
+	io.WriteString(idle, "GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+	receive(t, idleReader)
+	drained := make(chan error, 1)
+	go func() { drained <- l.Drain(t.Context()) }()
+	if _, err := idleReader.ReadByte(); !errors.Is(err, io.EOF) {
+		t.Errorf("idle connection: got %v, want %v", err, io.EOF)
+	}
+	io.WriteString(caller, "x")
+	if got, want := receive(t, callerReader).body, "POST /p x"; got != want {
+		t.Errorf("got %q, want %q", got, want)
+	}
+	if err := <-drained; err != nil {
+		t.Errorf("drain: got %v, want no error", err)
+	}
+}
