Call the receivers of grants without the subscriber's lock

What callers saw: once servers name limits, an entry can stop for good.

Cause: two locks in opposite orders. handlePulse passed on allotments and grants with Subscriber.mu held, and SetGrants takes Throttler.mu. The methods of Throttler asked for the number of entries with Throttler.mu held, and Entries takes Subscriber.mu. Class of fault: code of another part is called with one's own lock held.

Change: the subscriber passes a pulse on after it has released its lock, and the throttler asks for the number of entries before it takes its own. The number of entries is atomic, as it is asked for at each choice of a server. Either of the first two ends the cycle; both parts now hold to the rule. Only the goroutine of the connection passes pulses on, and another connection begins after a wait, so that they stay in order.

--- a/internal/subscriber/subscriber.go
+++ b/internal/subscriber/subscriber.go
@@ -23,15 +23,17 @@
 // Subscriber keeps an up-to-date View of the configuration. Its methods may be
 // called concurrently.
 type Subscriber struct {
-	s         Settings
-	clock     timer.Service
-	client    *Client
-	view      atomic.Pointer[View]
-	ctx       context.Context //nolint:containedctx // lifetime of the subscriber
-	cancel    context.CancelFunc
-	wg        sync.WaitGroup
-	done      chan struct{}
-	closeOnce sync.Once
+	s      Settings
+	clock  timer.Service
+	client *Client
+	view   atomic.Pointer[View]
+	// entryCount is the number of entries as counted by the control host.
+	entryCount atomic.Int64
+	ctx        context.Context //nolint:containedctx // lifetime of the subscriber
+	cancel     context.CancelFunc
+	wg         sync.WaitGroup
+	done       chan struct{}
+	closeOnce  sync.Once
 
 	mu         sync.Mutex
 	versions   versionsQuery
@@ -41,7 +43,6 @@
 	wait       backoff
 	stopTimers []func() // stops the heartbeat timer and the reconnect timer
 	started    bool
-	entryCount int      // number of entries as counted by the control host
 	seeds      []string // configured control hosts
 	members    []string // control hosts announced by a control host
 	// confirmedAt is the latest time at which the view is known to have been current
@@ -160,12 +161,7 @@
 
 // Entries returns the number of entry processes according to the last pulse from a
 // control host that was up to date, 0 before the first one.
-func (s *Subscriber) Entries() int {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-
-	return s.entryCount
-}
+func (s *Subscriber) Entries() int { return int(s.entryCount.Load()) }
 
 // SetSeeds replaces the configured addresses of control hosts, "ip:port". The
 // subscriber continues to use hosts announced by a control host as well.
@@ -347,20 +343,33 @@
 // handleNotice handles a message on connection l and reports whether the view was
 // replaced. u is the update that the message contains, or nil.
 func (s *Subscriber) handleNotice(l *link, n *wire.Notice, u *wire.Update) bool {
+	replaced, current := s.applyNotice(l, n, u)
+	if p := n.GetPulse(); current && u == nil && p.GetAllotted() {
+		// The receivers have locks of their own, so s.mu must not be held.
+		s.s.SetAllotments(s.Entries(), p.GetAllotments())
+		s.s.SetGrants(p.GetGrants())
+	}
+
+	return replaced
+}
+
+// applyNotice applies a message to the state of the subscriber. It reports whether the
+// view was replaced, and whether l is the current connection.
+func (s *Subscriber) applyNotice(l *link, n *wire.Notice, u *wire.Update) (replaced, current bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.link != l {
-		return false
+		return false, false
 	}
 	l.lastHeard = s.clock.Now()
 	if u != nil {
-		return s.applyUpdate(l, u)
+		return s.applyUpdate(l, u), true
 	}
 	if p := n.GetPulse(); p != nil {
 		s.handlePulse(l, p)
 	}
 
-	return false
+	return false, true
 }
 
 // applyUpdate applies an update to the view. An update that is not newer than the
@@ -386,11 +395,7 @@
 	lease := time.Duration(p.GetLease()) * time.Millisecond
 	// A host that is starting or cut off has registered only some of the entries, or none.
 	if p.GetEntries() > 0 && lease <= s.s.StaleAfter && p.GetIndex() >= s.View().Index() {
-		s.entryCount = int(p.GetEntries())
-	}
-	if p.GetAllotted() {
-		s.s.SetAllotments(s.entryCount, p.GetAllotments())
-		s.s.SetGrants(p.GetGrants())
+		s.entryCount.Store(int64(p.GetEntries()))
 	}
 	if len(p.GetHosts()) > 0 {
 		s.updateHosts(p.GetHosts())
--- a/internal/throttler/throttler.go
+++ b/internal/throttler/throttler.go
@@ -113,6 +113,7 @@
 
 // Allows reports whether a request may be sent to a server now, and counts as demand for it.
 func (t *Throttler) Allows(now time.Time, server string) bool {
+	entries := t.entryCount()
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	s := t.servers[server]
@@ -121,17 +122,18 @@
 	}
 	s.demand.Add(now, 1)
 
-	return t.allowance(now, s) >= 1
+	return s.allowance(now, entries) >= 1
 }
 
 // Exhausted reports whether no request may be sent to a server now. It does not count as
 // demand.
 func (t *Throttler) Exhausted(now time.Time, server string) bool {
+	entries := t.entryCount()
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	s := t.servers[server]
 
-	return s != nil && s.limit > 0 && t.allowance(now, s) < 1
+	return s != nil && s.limit > 0 && s.allowance(now, entries) < 1
 }
 
 // GrantRate returns the number of requests to a server that were granted per second lately.
@@ -147,13 +149,14 @@
 
 // Take counts requests to a server, if one may be sent now. Otherwise it returns false.
 func (t *Throttler) Take(now time.Time, server string, requests float64) bool {
+	entries := t.entryCount()
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	s := t.servers[server]
 	if s == nil || s.limit == 0 {
 		return true
 	}
-	if t.allowance(now, s) < 1 {
+	if s.allowance(now, entries) < 1 {
 		return false
 	}
 	s.count(requests)
@@ -163,10 +166,11 @@
 
 // Charge counts requests to a server that are sent in any case.
 func (t *Throttler) Charge(now time.Time, server string, requests float64) {
+	entries := t.entryCount()
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if s := t.servers[server]; s != nil && s.limit > 0 {
-		t.allowance(now, s)
+		s.allowance(now, entries)
 		s.count(requests)
 	}
 }
@@ -185,15 +189,21 @@
 	s.level -= requests
 }
 
-// allowance returns how many requests may be sent now. The caller must hold t.mu.
-func (t *Throttler) allowance(now time.Time, s *serverLimit) float64 {
+// entryCount returns the number of entries that share a limit. The caller must not hold t.mu.
+func (t *Throttler) entryCount() int {
+	if entries := t.entries(); entries > 0 {
+		return entries
+	}
+
+	return defaultEntries
+}
+
+// allowance returns how many requests may be sent now. The caller must hold the mutex of the
+// Throttler.
+func (s *serverLimit) allowance(now time.Time, entries int) float64 {
 	if !s.grantAt.IsZero() && now.Sub(s.grantAt) <= grantValidity {
 		return s.granted - s.used
 	}
-	entries := t.entries()
-	if entries <= 0 {
-		entries = defaultEntries
-	}
 	s.level = min(s.level+max(now.Sub(s.refilled).Seconds(), 0)*s.limit/float64(entries), 1)
 	s.refilled = now
 
