End the streams of a session before yamux closes it

An entry, agent or control host that loses a connection uses a whole processor until the connection is closed. A host in this state answers nothing and loses all that it has accepted.

Cause: in yamux v0.1.2, Session.Close closes shutdownCh first and marks the streams closed only after its receive loop has ended. Until then, Stream.Read and a Stream.Write that waits for the window find shutdownCh ready and the stream open, and try again without blocking. Session.Close itself waits for the receive loop, which on one processor waits for the streams.

Evidence: TestLostConnectionDoesNotSpin on, one processor and asyncpreemptoff=1.

Change: the session's connection is wrapped. Before yamux has an error of a read or a write, before Session.Close, and in yamux's call of Close, the wrapper sets the deadlines of all streams to the past. Their calls return, as they do after Stream.Close; data that was received is still read first, and Recv still reports io.EOF. Streams opened later and deadlines set later don't wait either.

--- a/internal/messenger/listener.go
+++ b/internal/messenger/listener.go
@@ -18,7 +18,7 @@
 	done     chan struct{}
 	wg       sync.WaitGroup
 	mu       sync.Mutex
-	sessions map[*yamux.Session]struct{}
+	sessions map[*Session]struct{}
 	closed   bool
 }
 
@@ -35,7 +35,7 @@
 	}
 	l := &Listener{
 		inner: inner, handle: handle, ctx: ctx, cancel: cancel,
-		done: make(chan struct{}), sessions: make(map[*yamux.Session]struct{}),
+		done: make(chan struct{}), sessions: make(map[*Session]struct{}),
 	}
 	l.wg.Add(1)
 	go l.acceptLoop()
@@ -91,10 +91,8 @@
 }
 
 func (l *Listener) startSession(conn net.Conn) {
-	session, err := yamux.Server(conn, yamuxConfig())
+	session, err := newSession(conn, yamux.Server)
 	if err != nil {
-		_ = conn.Close()
-
 		return
 	}
 	l.mu.Lock()
@@ -109,19 +107,19 @@
 	go l.serveSession(session)
 }
 
-func (l *Listener) serveSession(session *yamux.Session) {
+func (l *Listener) serveSession(session *Session) {
 	defer l.wg.Done()
 	ctx, cancel := context.WithCancel(l.ctx)
 	defer cancel()
 	for {
-		inner, err := session.AcceptStream()
+		inner, err := session.inner.AcceptStream()
 		if err != nil {
 			break
 		}
 		l.wg.Add(1)
 		go func() {
 			defer l.wg.Done()
-			stream := newStream(inner)
+			stream := newStream(inner, session.conn)
 			defer func() { _ = stream.Close() }()
 			l.handle(ctx, stream)
 		}()
--- a/internal/messenger/messenger.go
+++ b/internal/messenger/messenger.go
@@ -44,12 +44,15 @@
 // Stream is one ordered stream of messages in each direction. Send may be called
 // concurrently with Recv and with other calls of Send.
 type Stream struct {
-	inner  *yamux.Stream
+	inner  *endingStream
 	reader *bufio.Reader
 	mu     sync.Mutex // serializes writes
 }
 
-func newStream(inner *yamux.Stream) *Stream {
+func newStream(s *yamux.Stream, conn *connection) *Stream {
+	conn.add(s)
+	inner := &endingStream{Stream: s, conn: conn}
+
 	return &Stream{inner: inner, reader: bufio.NewReader(inner)}
 }
 
@@ -98,11 +101,7 @@
 
 // Close closes the stream in both directions.
 func (s *Stream) Close() error {
-	// In yamux, Close only ends the sending direction. The read deadline unblocks
-	// a Recv in another goroutine.
-	err := s.inner.Close()
-	_ = s.inner.SetReadDeadline(time.Unix(1, 0))
-	if err != nil {
+	if err := s.inner.Close(); err != nil {
 		return errors.Newf("close stream: %w", err)
 	}
 
@@ -112,6 +111,20 @@
 // Session is a connection to another process.
 type Session struct {
 	inner *yamux.Session
+	conn  *connection
+}
+
+// newSession starts a session on conn with start, yamux.Client or yamux.Server.
+func newSession(conn net.Conn, start func(io.ReadWriteCloser, *yamux.Config) (*yamux.Session, error)) (*Session, error) {
+	c := newConnection(conn)
+	inner, err := start(c, yamuxConfig())
+	if err != nil {
+		_ = conn.Close()
+
+		return nil, errors.Newf("start session: %w", err)
+	}
+
+	return &Session{inner: inner, conn: c}, nil
 }
 
 // Dial connects to addr, "ip:port". It fails after 3 s or when ctx ends.
@@ -121,14 +134,12 @@
 	if err != nil {
 		return nil, errors.Newf("dial %s: %w", addr, err)
 	}
-	inner, err := yamux.Client(conn, yamuxConfig())
+	session, err := newSession(conn, yamux.Client)
 	if err != nil {
-		_ = conn.Close()
-
-		return nil, errors.Newf("start session with %s: %w", addr, err)
+		return nil, errors.Newf("dial %s: %w", addr, err)
 	}
 
-	return &Session{inner: inner}, nil
+	return session, nil
 }
 
 // Open opens a new stream.
@@ -141,7 +152,7 @@
 		return nil, errors.Newf("open stream: %w", err)
 	}
 
-	return newStream(inner), nil
+	return newStream(inner, s.conn), nil
 }
 
 // Done returns a channel that is closed when the connection ends.
@@ -149,6 +160,7 @@
 
 // Close closes the connection and all its streams.
 func (s *Session) Close() error {
+	s.conn.end()
 	if err := s.inner.Close(); err != nil {
 		return errors.Newf("close session: %w", err)
 	}
