--- a/internal/controller/full_disks_test.go
+++ b/internal/controller/full_disks_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/damasklever/damasklever/internal/controller"
 	"github.com/damasklever/damasklever/internal/logger"
+	"github.com/damasklever/damasklever/internal/messenger"
 	"github.com/damasklever/damasklever/internal/recorder"
 	"github.com/damasklever/damasklever/internal/timer"
 	"github.com/damasklever/damasklever/internal/wire"
@@ -143,41 +144,52 @@
 // supervised is a control host that is reopened after a failure of its disk.
 type supervised struct {
 	*controller.Supervisor
-	disk   *faultyDisk
-	addr   string
-	opened atomic.Int64
+	disk     *faultyDisk
+	opened   atomic.Int64
+	settings func() controller.Settings
+	cancel   context.CancelFunc
 }
 
-// superviseCluster starts n control hosts under supervisors, with settings modified by adjust.
-func superviseCluster(t testing.TB, n int, adjust func(host int, s *supervised)) []*supervised {
+// start starts the host, as a process that has just been started would.
+func (s *supervised) start() {
+	s.Supervisor = controller.NewSupervisor(s.settings, s.settings().Timer, logger.Discard())
+	var ctx context.Context
+	ctx, s.cancel = context.WithCancel(context.Background())
+	go s.Run(ctx)
+}
+
+// stop stops the host.
+func (s *supervised) stop() {
+	s.cancel()
+	<-s.Done()
+}
+
+// superviseCluster starts three control hosts under supervisors, each after a call of adjust.
+func superviseCluster(t testing.TB, adjust func(host int, s *supervised)) []*supervised {
 	t.Helper()
 	clock := timer.New()
 	t.Cleanup(clock.Close)
-	addrs := freeAddrs(t, n)
+	addrs := freeAddrs(t, 3)
 	var members []*wire.Member
 	for i, addr := range addrs {
 		members = append(members, &wire.Member{Number: uint64(i + 1), Addr: addr})
 	}
-	hosts := make([]*supervised, n)
-	for i := range n {
-		s := &supervised{disk: newFaultyDisk(t), addr: addrs[i]}
+	hosts := make([]*supervised, len(addrs))
+	for i := range addrs {
+		s := &supervised{disk: newFaultyDisk(t)}
 		hosts[i] = s
 		adjust(i, s)
-		s.Supervisor = controller.NewSupervisor(func() controller.Settings {
+		s.settings = func() controller.Settings {
 			s.opened.Add(1)
 
 			return controller.Settings{
 				Number: uint64(i + 1), Listen: addrs[i], DataDir: "data", Files: s.disk, Members: members,
 				ElectionTimeout: 300 * time.Millisecond, HeartbeatInterval: 30 * time.Millisecond, CommitTimeout: 900 * time.Millisecond,
-				Repair: true, TargetMembers: n, Seeds: addrs, CompactEntries: 40, Timer: clock, Log: logger.Discard(),
+				Repair: true, TargetMembers: len(addrs), Seeds: addrs, CompactEntries: 40, Timer: clock, Log: logger.Discard(),
 			}
-		}, clock, logger.Discard())
-		ctx, cancel := context.WithCancel(context.Background())
-		t.Cleanup(func() {
-			cancel()
-			<-s.Done()
-		})
-		go s.Run(ctx)
+		}
+		s.start()
+		t.Cleanup(s.stop)
 	}
 
 	return hosts
@@ -199,11 +211,17 @@
 
 func startPlanWriter(t testing.TB, hosts []*supervised) *planWriter {
 	t.Helper()
+
+	return startPlanWriterFrom(t, hosts, 1)
+}
+
+func startPlanWriterFrom(t testing.TB, hosts []*supervised, first uint64) *planWriter {
+	t.Helper()
 	ctx, cancel := context.WithCancel(t.Context())
 	w := &planWriter{hosts: hosts, stop: cancel, done: make(chan struct{})}
 	go func() {
 		defer close(w.done)
-		for version := uint64(1); ctx.Err() == nil; version++ {
+		for version := first; ctx.Err() == nil; version++ {
 			w.last.Store(version)
 			if hosts[int(version)%len(hosts)].ReplacePlan(ctx, testPlan(version)).GetOutcome() == wire.Outcome_OUTCOME_DONE {
 				w.acked.Store(version)
@@ -285,6 +303,7 @@
 			return l != nil && h.Ready() && h.Dump().Applied >= l.Dump().Applied
 		})
 	}
+	awaitMembers(t, hosts)
 	before := w.acked.Load()
 	awaitWithin(t, "a change is acknowledged", func() bool { return w.acked.Load() > before })
 	w.stop()
@@ -354,7 +373,7 @@
 		for order, choose := range orders {
 			t.Run(name+"/"+order, func(t *testing.T) {
 				t.Parallel()
-				hosts := superviseCluster(t, 3, func(int, *supervised) {})
+				hosts := superviseCluster(t, func(int, *supervised) {})
 				w := startPlanWriter(t, hosts)
 				awaitWithin(t, "the first change is acknowledged", func() bool { return w.acked.Load() > 0 })
 				ids := awaitMembers(t, hosts)
@@ -379,7 +398,7 @@
 		for full := range 4 {
 			t.Run(fmt.Sprintf("%s/%d", name, full), func(t *testing.T) {
 				t.Parallel()
-				hosts := superviseCluster(t, 3, func(host int, s *supervised) {
+				hosts := superviseCluster(t, func(host int, s *supervised) {
 					if host == full || full == 3 {
 						s.disk.set(refuse)
 					}
@@ -400,7 +419,7 @@
 // Guards against hosts that wait for a cluster which the host that named its members has failed
 // to store.
 func TestFirstSnapshotIsRefused(t *testing.T) {
-	hosts := superviseCluster(t, 3, func(host int, s *supervised) {
+	hosts := superviseCluster(t, func(host int, s *supervised) {
 		if host == 0 {
 			s.disk.set(refusals["all"])
 		}
@@ -422,3 +441,119 @@
 	awaitWithin(t, "the first change is acknowledged", func() bool { return w.acked.Load() > 0 })
 	checkRecovered(t, hosts, w, awaitMembers(t, hosts))
 }
+
+// fromOperation returns a refusal of the nth operation and all later ones. Reads are not
+// refused.
+func fromOperation(n int) refusal {
+	seen := 0
+
+	return func(string, string, int) bool {
+		seen++
+
+		return seen > n
+	}
+}
+
+// Guards against a host that stays out after it was started while its disk was full, at any
+// step of opening its data directory.
+func TestHostStartedOnFullDisk(t *testing.T) {
+	directories := map[string]struct {
+		// before is how the disk refuses writes before the host stops.
+		before refusal
+		lost   bool // the host starts with an empty directory
+		steps  int
+	}{
+		"sound":                  {steps: 4},
+		"interrupted compaction": {before: refusals["rewritten log"], steps: 12},
+		"torn log":               {before: refusals["truncate"], steps: 6},
+		"empty":                  {lost: true, steps: 24},
+	}
+	for name, directory := range directories {
+		for step := range directory.steps {
+			t.Run(fmt.Sprintf("%s/%d", name, step), func(t *testing.T) {
+				t.Parallel()
+				hosts := superviseCluster(t, func(int, *supervised) {})
+				w := startPlanWriter(t, hosts)
+				awaitWithin(t, "the first change is acknowledged", func() bool { return w.acked.Load() > 0 })
+				ids := awaitMembers(t, hosts)
+				h := hosts[2]
+				if directory.before != nil {
+					h.disk.set(directory.before)
+					awaitWithin(t, "a write is refused", func() bool { return h.disk.refusals() > 0 })
+				}
+				w.stop()
+				<-w.done
+				first := w.acked.Load()
+				h.stop()
+				if directory.lost {
+					h.disk = newFaultyDisk(t)
+				}
+				h.disk.set(fromOperation(step))
+				h.start()
+				// Until the disk has room, the others are enough.
+				w = startPlanWriterFrom(t, hosts[:2], first+1)
+				awaitWithin(t, "a write is refused", func() bool { return h.disk.refusals() > 1 })
+				awaitWithin(t, "a change is acknowledged", func() bool { return w.acked.Load() > first })
+				h.disk.set(nil)
+				if directory.lost {
+					awaitWithin(t, "the host has joined as a new member", func() bool {
+						ids = awaitMembers(t, hosts)
+
+						return slices.Contains(ids, h.Dump().ID)
+					})
+				}
+				checkRecovered(t, hosts, w, ids)
+			})
+		}
+	}
+}
+
+// Guards against a member that stays out after it was removed while its disk was full, and
+// against a cluster that accepts no changes once it is back.
+func TestMemberRemovedWhileDiskIsFullReturns(t *testing.T) {
+	for name, refuse := range refusals {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			hosts := superviseCluster(t, func(int, *supervised) {})
+			w := startPlanWriter(t, hosts)
+			awaitWithin(t, "the first change is acknowledged", func() bool { return w.acked.Load() > 0 })
+			ids := awaitMembers(t, hosts)
+			h := hosts[0]
+			removed, others := h.Dump().ID, hosts[1:]
+			addr := h.Dump().Addr
+			h.disk.set(refuse)
+			awaitWithin(t, "the member is removed", func() bool {
+				removeMember(t, others[0].Dump().Addr, addr)
+
+				return slices.ContainsFunc(others, func(x *supervised) bool {
+					got := memberIDs(x)
+
+					return len(got) > 0 && !slices.Contains(got, removed)
+				})
+			})
+			h.disk.set(nil)
+			checkRecovered(t, hosts, w, ids)
+		})
+	}
+}
+
+// removeMember asks a control host to remove the member at an address.
+func removeMember(t testing.TB, host, addr string) {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(t.Context(), recoveryTimeout)
+	defer cancel()
+	session, err := messenger.Dial(ctx, host)
+	if err != nil {
+		return
+	}
+	defer func() { _ = session.Close() }()
+	s, err := session.Open(ctx)
+	if err != nil {
+		return
+	}
+	if s.Send(&wire.Request{Body: &wire.Request_Command{Command: &wire.Command{
+		Id: "remove", Expect: -1, Body: &wire.Command_Peering{Peering: &wire.Peering{Verb: "remove", Addr: addr}},
+	}}}) == nil {
+		_ = s.Recv(&wire.Response{})
+	}
+}
