router: answer each request before the end of a shutdown

What callers saw: at the end of an entry's drain time, requests that a server held or that waited for a grant had their connection closed without an answer. A request whose last byte came late in the drain was still sent to a server, also a booking, and was cut the same way. A request of which only a part had come was cut without a word, so the caller could not tell whether it had been read.

Cause: the drain waited for the requests until its time was over and then closed the listener. No request knew of that time, and a request accepted during the drain was handled like any other.

Now the drainer keeps the time of the shutdown. The state machine of each request is told when it must end: the deadline becomes the end of the shutdown, with status 504 if work may have run and 503 if not, and an ask or a claim is given up as soon as the expected time of the work no longer fits. Nothing is asked for or dispatched after that. After the linger time a request is accepted only if its own time limit is before the end. The end is at most a second before the drain time is over, for sending the answers; then a request that is still being received gets 503, too.

The random schedules of the state machine include the event.

--- a/internal/dispatcher/deadline.go
+++ b/internal/dispatcher/deadline.go
@@ -9,6 +9,11 @@
 
 		return
 	}
+	if m.claim.waiting && m.lacksTime() {
+		m.refuseForShutdown()
+
+		return
+	}
 	if m.claim.waiting && !m.now.Before(m.claim.expiry) {
 		m.claimed(Claimed{Unknown: true, Text: "no answer from the log in time"})
 
@@ -30,6 +35,8 @@
 	switch {
 	case t.step == stepWaiting:
 		m.askAfterWait(t)
+	case t.step == stepAsked && m.lacksTime():
+		m.refuseForShutdown()
 	case t.step == stepAsked && t.repeatingTransfer:
 		// The memory went to another request, so other decode servers are asked as well.
 		t.repeatingTransfer = false
--- a/internal/dispatcher/event.go
+++ b/internal/dispatcher/event.go
@@ -92,6 +92,10 @@
 // CallerGone reports that the caller disconnected.
 type CallerGone struct{}
 
+// Stopping reports that the process is stopping and that the request must end by the given
+// time. Before Started it limits a request that begins during the shutdown.
+type Stopping struct{ End time.Time }
+
 // TimerFired reports that the time of a RequestWake has come.
 type TimerFired struct{}
 
@@ -107,4 +111,5 @@
 func (ConnectionLost) event()   {}
 func (Claimed) event()          {}
 func (CallerGone) event()       {}
+func (Stopping) event()         {}
 func (TimerFired) event()       {}
--- a/internal/dispatcher/machine.go
+++ b/internal/dispatcher/machine.go
@@ -36,6 +36,7 @@
 	grantDeadline time.Time
 	deadline      time.Time
 	startedAt     time.Time
+	stopBy        time.Time // end of the process, zero unless it is stopping
 	actions       []Action
 	nextWake      time.Time
 
@@ -100,8 +101,12 @@
 
 // start handles events until the first Started or CallerGone and ignores all others.
 func (m *Machine) start(e Event) {
-	switch e.(type) {
+	switch e := e.(type) {
 	case Started:
+	case Stopping:
+		m.stopBy = e.End
+
+		return
 	case CallerGone:
 		m.startedAt = m.now
 		m.callerDisconnected()
@@ -119,7 +124,10 @@
 	if m.grantDeadline.IsZero() || m.grantDeadline.After(m.deadline) {
 		m.grantDeadline = m.deadline
 	}
+	m.limitToShutdown()
 	switch {
+	case m.lacksTime():
+		m.refuseForShutdown()
 	case m.req.Kind != wire.Kind_KIND_PLAIN:
 		m.ask(&m.decode, "")
 	case m.req.Idempotent:
@@ -133,6 +141,10 @@
 	switch e := e.(type) {
 	case CallerGone:
 		m.callerDisconnected()
+	case Stopping:
+		m.stopBy = e.End
+		m.limitToShutdown()
+		m.checkDeadlines()
 	case TimerFired:
 		m.checkDeadlines()
 	case Claimed:
@@ -185,6 +197,11 @@
 	for _, t := range m.tracks() {
 		if a := t.removeAsk(e.ID); a != nil {
 			m.useGrant(t, a)
+			if m.lacksTime() {
+				m.refuseForShutdown()
+
+				return
+			}
 			m.advance()
 
 			return
@@ -392,6 +409,9 @@
 	}
 	if !m.finished {
 		earliest(m.deadline)
+		if m.claim.waiting {
+			earliest(m.lastDispatch())
+		}
 		for _, t := range m.tracks() {
 			earliest(t.expiry)
 		}
--- a/internal/dispatcher/property_test.go
+++ b/internal/dispatcher/property_test.go
@@ -27,7 +27,7 @@
 		wire.Status_STATUS_REVOKED, wire.Status_STATUS_EVICTED, wire.Status_STATUS_CANCELLED,
 	}).Draw(t, "status")
 	reason := rapid.SampledFrom([]string{"", "stalled"}).Draw(t, "reason")
-	switch rapid.IntRange(0, 14).Draw(t, "event") {
+	switch rapid.IntRange(0, 15).Draw(t, "event") {
 	case 0, 1, 2:
 		return dispatcher.Granted{ID: id}
 	case 3:
@@ -48,6 +48,8 @@
 		return dispatcher.ConnectionLost{ID: id}
 	case 13:
 		return dispatcher.Claimed{OK: rapid.Bool().Draw(t, "ok"), Fresh: rapid.Bool().Draw(t, "fresh")}
+	case 14:
+		return dispatcher.Stopping{End: h.now.Add(time.Duration(rapid.Int64Range(0, int64(3*time.Second)).Draw(t, "left")))}
 	default:
 		h.now = h.now.Add(time.Duration(rapid.Int64Range(1, int64(3*time.Second)).Draw(t, "wait")))
 
--- a/internal/dispatcher/request.go
+++ b/internal/dispatcher/request.go
@@ -35,6 +35,7 @@
 	DecodeTime time.Duration // expected decode time, 0 if unknown
 
 	// Plain calls.
+	CallTime   time.Duration // expected time of the call; only limits it when the process stops
 	Method     string
 	Path       string
 	Headers    []*wire.Header
--- a/internal/dispatcher/track.go
+++ b/internal/dispatcher/track.go
@@ -81,6 +81,11 @@
 // the KV cache transfer, or empty. See noGrant for what happens if there are
 // none left.
 func (m *Machine) ask(t *track, peer string) {
+	if m.lacksTime() {
+		m.refuseForShutdown()
+
+		return
+	}
 	if t.rounds >= m.limits.MaxRounds {
 		m.noGrant(t)
 
@@ -154,11 +159,15 @@
 // failed dispatch or transfer misses its target anyway, so only the deadline of the
 // request counts.
 func (m *Machine) nextGrantDeadline() time.Time {
+	deadline := m.grantDeadline
 	if m.retries > 0 || m.transfers > 0 {
-		return m.deadline
+		deadline = m.deadline
+	}
+	if last := m.lastDispatch(); !last.IsZero() && last.Before(deadline) {
+		return last
 	}
 
-	return m.grantDeadline
+	return deadline
 }
 
 // resetTrack withdraws all attempts of a track, so that it can ask again.
--- a/internal/listener/connection.go
+++ b/internal/listener/connection.go
@@ -194,6 +194,17 @@
 	}
 }
 
+// rejectUnfinished rejects the request that is being received.
+func (c *connection) rejectUnfinished() {
+	if !c.receiving.Load() || c.discarding.Load() {
+		return
+	}
+	c.invalidInput.Store(true)
+	c.enqueue(&exchange{close: true, rejection: &rejection{
+		http.StatusServiceUnavailable, "the process is stopping",
+	}})
+}
+
 // closeAfterOutput closes the connection after its output has been sent. The caller
 // of the function holds c.mu.
 func (c *connection) closeAfterOutput() {
--- a/internal/listener/exchange.go
+++ b/internal/listener/exchange.go
@@ -4,6 +4,7 @@
 	"io"
 	"net/http"
 	"strings"
+	"time"
 
 	"github.com/damasklever/damasklever/internal/dispatcher"
 )
@@ -113,5 +114,13 @@
 // rejectedOutcome returns the outcome of a request that was rejected before it
 // reached the backend.
 func rejectedOutcome(e *rejection) dispatcher.Outcome {
-	return dispatcher.Outcome{Result: dispatcher.NotRun, Status: e.status, Reason: e.reason}
+	o := dispatcher.Outcome{Result: dispatcher.NotRun, Status: e.status, Reason: e.reason}
+	if e.status == http.StatusServiceUnavailable {
+		o.After = retryAfter
+	}
+
+	return o
 }
+
+// retryAfter is announced with the rejection of a request that another process can run.
+const retryAfter = time.Second
--- a/internal/listener/listener.go
+++ b/internal/listener/listener.go
@@ -145,6 +145,18 @@
 	}
 }
 
+// RejectUnfinished answers requests of which only a part has been received with status 503
+// and closes their connections. It is for the end of a drain.
+func (l *Listener) RejectUnfinished() {
+	l.connections.Range(func(_, value any) bool {
+		if callerConn, ok := value.(*connection); ok {
+			callerConn.rejectUnfinished()
+		}
+
+		return true
+	})
+}
+
 // Close stops the server and disconnects all callers.
 func (l *Listener) Close() {
 	l.once.Do(func() {
--- a/internal/router/agentconn_test.go
+++ b/internal/router/agentconn_test.go
@@ -27,6 +27,7 @@
 	streams  []*messenger.Stream
 	ran      *bool // in the reply to Withdraw, nil for no reply
 	silent   bool  // doesn't answer Ask and Renew
+	busy     bool  // doesn't answer Ask
 	listener *messenger.Listener
 }
 
@@ -52,7 +53,7 @@
 			return
 		}
 		a.mu.Lock()
-		epoch, ran, silent := a.epoch, a.ran, a.silent
+		epoch, ran, silent, busy := a.epoch, a.ran, a.silent, a.busy
 		if h := call.GetHello(); h != nil {
 			a.hellos = append(a.hellos, h)
 		}
@@ -67,7 +68,7 @@
 				s.Send(&wire.Reply{Body: &wire.Reply_Load{Load: &wire.Load{Total: 2, Free: 2}}})
 			}
 		case *wire.Call_Ask:
-			if silent {
+			if silent || busy {
 				break
 			}
 			s.Send(&wire.Reply{Body: &wire.Reply_Granted{Granted: &wire.Granted{Id: b.Ask.GetId(), Epoch: epoch}}})
--- a/internal/router/control.go
+++ b/internal/router/control.go
@@ -55,7 +55,7 @@
 			Name: r.settings.Name, Role: "entry", Addr: r.settings.Listen,
 			Region: r.settings.Region, Centre: r.settings.Centre, Epoch: r.epoch,
 		},
-		Flights: r.heartbeatFlights, Leaving: r.leaving.Load, Log: r.log,
+		Flights: r.heartbeatFlights, Leaving: r.drainer.Stopping, Log: r.log,
 	}, r.timers)
 	if err != nil {
 		return nil, errors.Newf("set up control client: %w", err)
--- a/internal/router/dump.go
+++ b/internal/router/dump.go
@@ -54,7 +54,7 @@
 	v, now := r.control.View(), r.timers.Now()
 	s := State{
 		Name: r.settings.Name, Region: r.settings.Region, Centre: r.settings.Centre, Epoch: r.epoch,
-		Leaving: r.leaving.Load(), Index: v.Index(), Revision: v.Revision(),
+		Leaving: r.drainer.Stopping(), Index: v.Index(), Revision: v.Revision(),
 		Fresh: r.control.Fresh(now), Servers: r.fleet.count(),
 		Requests: r.requestStates(), Sessions: []SessionState{},
 	}
--- a/internal/router/inflight.go
+++ b/internal/router/inflight.go
@@ -54,6 +54,13 @@
 	}
 }
 
+// limit makes the request end before the process does if that is stopping.
+func (f *inflight) limit() {
+	if left, stopping := f.r.drainer.Left(); stopping {
+		f.step(dispatcher.Stopping{End: f.r.timers.Now().Add(left)})
+	}
+}
+
 // perform carries out an action without blocking. The caller holds f.mu.
 func (f *inflight) perform(now time.Time, action dispatcher.Action) {
 	switch a := action.(type) {
--- a/internal/router/request.go
+++ b/internal/router/request.go
@@ -37,6 +37,8 @@
 	// waits for the agent to confirm whether the call ran, after the caller got the final
 	// answer.
 	confirmationSlack = 2 * time.Second
+	// defaultCallTime is the expected time of a plain call whose rank has no target.
+	defaultCallTime = time.Second
 	// minGrantWait is the shortest time allowed for a grant, so that a prompt whose
 	// prefill takes as long as the first-token target is still tried.
 	minGrantWait = 100 * time.Millisecond
@@ -198,6 +200,16 @@
 	return now.Add(max(first-work, minGrantWait))
 }
 
+// callTime returns the expected time of a plain call, which is the target of its rank.
+func callTime(rank *wire.Rank, timeout time.Duration) time.Duration {
+	expected := milliseconds(rank.GetFirst())
+	if expected <= 0 {
+		expected = defaultCallTime
+	}
+
+	return min(expected, timeout)
+}
+
 // blocks returns the number of memory blocks that tokens occupy, at least 1.
 func blocks(tokens int64) int64 { return max((tokens+blockTokens-1)/blockTokens, 1) }
 
@@ -253,7 +265,7 @@
 		Digest: digester.Sum(c.Caller, service.GetName(), c.Method, c.Path, string(c.Body)),
 		Rank:   int(rank.GetLevel()), GrantDeadline: grantDeadline(now, rank, 0), Deadline: now.Add(timeout),
 		Method: c.Method, Path: c.Path, Headers: forwardedHeaders(c), Body: c.Body,
-		Idempotent: route.GetIdempotent(), Limits: r.settings.Limits,
+		Idempotent: route.GetIdempotent(), CallTime: callTime(rank, timeout), Limits: r.settings.Limits,
 	}
 	if !p.request.Idempotent {
 		r.setClaimKey(p, service, c)
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -14,6 +14,7 @@
 	"github.com/phuslu/log"
 	"github.com/prometheus/client_golang/prometheus"
 
+	"github.com/damasklever/damasklever/internal/drainer"
 	"github.com/damasklever/damasklever/internal/listener"
 	"github.com/damasklever/damasklever/internal/timer"
 )
@@ -35,7 +36,7 @@
 	agentsMu     sync.Mutex
 	agents       map[string]*agentConn // by server
 	background   sync.WaitGroup        // requests in flight and settlements
-	leaving      atomic.Bool
+	drainer      *drainer.Drainer
 	started      atomic.Bool
 	drainOnce    sync.Once
 	closeOnce    sync.Once
@@ -65,7 +66,7 @@
 	}
 	r := &Router{
 		settings: s, timers: d.Timer, log: d.Log, metrics: newMetrics(s.Region, d.Registry), epoch: epoch,
-		control: d.Control, fleet: fleet, shards: newShards(), agents: make(map[string]*agentConn),
+		control: d.Control, fleet: fleet, shards: newShards(), drainer: drainer.New(d.Timer), agents: make(map[string]*agentConn),
 		done: make(chan struct{}),
 	}
 	r.ctx, r.cancel = context.WithCancel(context.Background())
@@ -106,7 +107,7 @@
 
 // Ready reports whether the process has a configuration and isn't shutting down.
 func (r *Router) Ready() bool {
-	return r.started.Load() && !r.leaving.Load() && r.control.View().Index() > 0
+	return r.started.Load() && !r.drainer.Stopping() && r.control.View().Index() > 0
 }
 
 // Done returns a channel that is closed when the router has stopped after BeginDrain or
@@ -114,25 +115,49 @@
 func (r *Router) Done() <-chan struct{} { return r.done }
 
 // BeginDrain starts a graceful shutdown: Ready returns false, callers are accepted for the
-// Linger setting, then the router waits for the requests in flight and closes. A
-// second call has no effect.
+// Linger setting, then the router waits for the requests in flight, answers those that
+// remain, and closes. A second call has no effect.
 func (r *Router) BeginDrain() {
 	r.drainOnce.Do(func() {
-		r.leaving.Store(true)
+		s := r.settings
+		answerTime := min(maxAnswerTime, s.Drain/answerTimeFraction)
+		ctx, cancel := context.WithCancel(r.ctx)
+		r.timers.After(s.Linger+s.Drain-answerTime+maxAnswerTime, func(time.Time) { cancel() })
+		r.drainer.Begin(s.Linger, s.Linger+s.Drain-answerTime)
+		r.limitRequests()
 		if r.listener != nil {
 			r.listener.BeginDrain()
 		}
-		r.log.Info().Dur("linger", r.settings.Linger).Msg("leaving")
-		r.timers.After(r.settings.Linger, func(time.Time) { go r.drain() })
+		r.log.Info().Dur("linger", s.Linger).Dur("drain", s.Drain).Msg("leaving")
+		r.timers.After(s.Linger, func(time.Time) { go r.drain(ctx) })
 	})
 }
 
-// drain waits up to the Drain setting for requests and settlements, then closes.
-func (r *Router) drain() {
-	ctx, cancel := context.WithCancel(r.ctx)
-	defer cancel()
-	stop := r.timers.After(r.settings.Drain, func(time.Time) { cancel() })
-	defer stop()
+const (
+	// maxAnswerTime limits the time for sending the final answers, which answerTimeFraction
+	// makes shorter where the Drain setting is short.
+	maxAnswerTime      = time.Second
+	answerTimeFraction = 5
+)
+
+// limitRequests makes all requests in flight end before the process does.
+func (r *Router) limitRequests() {
+	for _, s := range r.shards {
+		for _, f := range s.list() {
+			f.limit()
+		}
+	}
+}
+
+// drain waits for requests and settlements until ctx ends, then closes.
+func (r *Router) drain(ctx context.Context) {
+	go func() {
+		select {
+		case <-r.drainer.Done():
+			r.listener.RejectUnfinished()
+		case <-r.done:
+		}
+	}()
 	if err := r.listener.Drain(ctx); err != nil {
 		r.log.Warn().Str("error", err.Error()).Msg("drain")
 	}
@@ -156,6 +181,7 @@
 		for _, stop := range r.stopTimers {
 			stop()
 		}
+		r.drainer.Close()
 		r.cancel()
 		if r.listener != nil {
 			r.listener.Close()
--- a/internal/router/serve.go
+++ b/internal/router/serve.go
@@ -68,6 +68,11 @@
 func (r *Router) execute(
 	ctx context.Context, now time.Time, v View, p *preparedRequest, emit func(text string, tokens int64),
 ) listener.Reply {
+	if !r.drainer.Accepts(p.request.Deadline.Sub(now)) {
+		return r.refuse(p.request.ID, p.request.Caller, p, &refusal{
+			status: http.StatusServiceUnavailable, reason: "the process is stopping", after: time.Second,
+		})
+	}
 	if v.Blocked(p.request.Digest, now) != nil {
 		return r.refuse(p.request.ID, p.request.Caller, p, newRefusal(http.StatusForbidden,
 			"the request is blocked because it crashed servers"))
@@ -83,6 +88,7 @@
 	r.background.Add(1)
 	r.shard(p.request.ID).add(f)
 	r.metrics.started(f)
+	f.limit()
 	f.step(dispatcher.Started{})
 	stop := context.AfterFunc(ctx, func() { f.step(dispatcher.CallerGone{}) })
 	defer stop()
