Serve no request on a kept connection that a drain has closed

What callers saw: requests on connections that had been kept alive, also such that must not be repeated, were passed on to a server at a planned stop, and their connections ended without an answer (LOST).

Cause: the drain closed idle connections through http.Server.SetKeepAlivesEnabled, which looks at the state of a connection and then closes it. In between, and until net/http has recorded that a connection is no longer idle, a whole request may have been read from it. Its handler does not know that the connection is closed. Connections without a request were closed in the same way after the wait for their first request. Class of fault: an end that comes from outside and that the handler is not told of, as at the end of the grace period.

Change: connTracker closes idle connections itself, under the lock under which it records that a request is in flight, and a handler drops a request whose connection it has closed. Answers of a gateway that is leaving say "Connection: close", also those to requests that came before.

--- a/internal/gateway/events.go
+++ b/internal/gateway/events.go
@@ -151,13 +151,10 @@
 // caller.
 func (f *forwarder) writeHeader(status int, h http.Header) {
 	out := f.w.Header()
-	closing := out.Get("Connection")
 	for name, values := range endToEnd(h) {
 		out[name] = values
 	}
-	if closing != "" {
-		out.Set("Connection", closing)
-	}
+	f.announceClose()
 	// Keeps net/http from adding headers that the server did not send.
 	for _, name := range []string{"Content-Type", "Date"} {
 		if _, ok := out[name]; !ok {
--- a/internal/gateway/forwarder.go
+++ b/internal/gateway/forwarder.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"net"
 	"net/http"
 	"net/url"
 	"slices"
@@ -73,10 +74,10 @@
 func (g *Gateway) handle(w http.ResponseWriter, r *http.Request) {
 	g.active.Add(1)
 	defer g.active.Add(-1)
-	f := &forwarder{g: g, w: w, r: r, arrived: g.s.Timer.Now()}
-	if g.leaving.Load() {
-		w.Header().Set("Connection", "close")
+	if conn, ok := r.Context().Value(connKey{}).(net.Conn); ok && g.conns.isDisconnected(conn) {
+		panic(http.ErrAbortHandler)
 	}
+	f := &forwarder{g: g, w: w, r: r, arrived: g.s.Timer.Now()}
 	if !f.readRequest() { //nolint:contextcheck // uses the context of the request
 		return
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -170,12 +170,7 @@
 	_ = g.listener.Close()
 	defer g.Close() //nolint:contextcheck // the last answers have their own time limit
 	<-g.acceptDone
-	g.mu.Lock()
-	for _, server := range g.servers {
-		// This also closes idle connections.
-		server.SetKeepAlivesEnabled(false)
-	}
-	g.mu.Unlock()
+	g.conns.closeIdle()
 	first, cancel := context.WithTimeout(ctx, FirstRequestWait)
 	defer cancel()
 	if g.conns.wait(first, http.StateNew) != nil {
--- a/internal/gateway/response.go
+++ b/internal/gateway/response.go
@@ -137,11 +137,19 @@
 func (f *forwarder) writeText(status int, reason string) {
 	f.w.Header().Set("Content-Type", "text/plain; charset=utf-8")
 	f.w.Header().Set("Content-Length", strconv.Itoa(len(reason)+1))
+	f.announceClose()
 	f.w.WriteHeader(status)
 	// An error means that the caller has disconnected, so there is nobody to report it to.
 	_ = f.write([]byte(reason + "\n"))
 }
 
+// announceClose has the connection closed after the response if the gateway is leaving.
+func (f *forwarder) announceClose() {
+	if f.g.leaving.Load() {
+		f.w.Header().Set("Connection", "close")
+	}
+}
+
 // abort ends a stream that broke off by aborting the connection, so that the caller cannot
 // take it for complete.
 func (f *forwarder) abort(o outcome) {
--- a/internal/gateway/shutdown_review_test.go
+++ b/internal/gateway/shutdown_review_test.go
@@ -1,9 +1,14 @@
 package gateway_test
 
 import (
+	"bufio"
 	"context"
+	"fmt"
 	"io"
+	"net"
 	"net/http"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -61,3 +66,56 @@
 		})
 	}
 }
+
+// Guards against requests on kept connections that are passed on while a drain closes them.
+func TestDrainAnswersKeptConnections(t *testing.T) {
+	const rounds, callers = 10, 300
+	for round := range rounds {
+		t.Run(fmt.Sprint(round), func(t *testing.T) { testDrainWithKeptConnections(t, callers) })
+	}
+}
+
+func testDrainWithKeptConnections(t *testing.T, callers int) {
+	t.Helper()
+	var received sync.Map
+	a := newBackend(t, "a", func(w http.ResponseWriter, r *http.Request) {
+		received.Store(r.Header.Get("Id"), true)
+		io.WriteString(w, "whole")
+	})
+	r := newTestGateway(t, nil, a.server(placer.Plain))
+	conns := make([]net.Conn, callers)
+	for i := range conns {
+		var err error
+		if conns[i], err = (&net.Dialer{}).DialContext(t.Context(), "tcp", r.gateway.Addr()); err != nil {
+			t.Fatal(err)
+		}
+		defer conns[i].Close()
+		exchange(t, conns[i], http.MethodPost, "/once/x", "", nil)
+	}
+	var calls sync.WaitGroup
+	var lost atomic.Int32
+	for i, conn := range conns {
+		calls.Go(func() {
+			id := fmt.Sprint("kept-", i)
+			<-time.After(time.Duration(i) * 10 * time.Microsecond)
+			fmt.Fprintf(conn, "POST /once/x HTTP/1.1\r\nHost: h\r\nId: %s\r\nContent-Length: 2\r\n\r\nab", id)
+			response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+			if err == nil {
+				response.Body.Close()
+
+				return
+			}
+			if _, ok := received.Load(id); ok {
+				lost.Add(1)
+			}
+		})
+	}
+	<-time.After(2 * time.Millisecond)
+	if err := r.gateway.Drain(t.Context()); err != nil {
+		t.Errorf("drain: got %v, want no error", err)
+	}
+	calls.Wait()
+	if got := lost.Load(); got > 0 {
+		t.Errorf("requests that were passed on and not answered: got %d of %d, want 0", got, callers)
+	}
+}
