Pass on requests whose deadline is before the end of a shutdown

What callers saw: a request whose deadline is before the end of a shutdown, and that must therefore be answered in time, was refused as "shutting down" where answers of its path took longer than the time left.

Cause: the estimate of an answer's time was not limited by the request's deadline, at which the request is answered in any case.

--- a/internal/gateway/shutdown.go
+++ b/internal/gateway/shutdown.go
@@ -36,16 +36,19 @@
 }
 
 // expectedTime returns the time in which the answer is expected to be complete once the request
-// is sent. promptRead states that its prompt has been processed.
+// is sent, at most until its deadline. promptRead states that its prompt has been processed.
 func (f *forwarder) expectedTime(promptRead bool) time.Duration {
+	var expected time.Duration
 	switch {
 	case f.hints.MaxOutputTokens == 0:
-		return f.g.answerTimes.expected(f.path.GetName())
+		expected = f.g.answerTimes.expected(f.path.GetName())
 	case promptRead:
-		return firstEventOverhead + f.expectedDuration()
+		expected = firstEventOverhead + f.expectedDuration()
 	default:
-		return f.timeToFirstEvent() + f.expectedDuration()
+		expected = f.timeToFirstEvent() + f.expectedDuration()
 	}
+
+	return min(expected, f.timeLeft())
 }
 
 const (
--- a/internal/gateway/shutdown_review_test.go
+++ b/internal/gateway/shutdown_review_test.go
@@ -67,6 +67,26 @@
 	}
 }
 
+// Guards against a refusal of requests whose deadline is before the end of a shutdown.
+func TestShutdownServesUntilDeadline(t *testing.T) {
+	const usual, limit = 900 * time.Millisecond, 800 * time.Millisecond
+	a := newBackend(t, "a", func(w http.ResponseWriter, r *http.Request) {
+		if r.Header.Get("Id") == "warm" {
+			<-time.After(usual)
+		}
+		io.WriteString(w, "whole")
+	})
+	d := newDrainer(t)
+	r := newTestGatewayWith(t, func(s *gateway.Settings) { s.Drainer = d }, a.server(placer.Plain))
+	if got, want := (<-heldRequest(t, r, "/once/x", "warm")).status, http.StatusOK; got != want {
+		t.Fatalf("first answer: got %d, want %d", got, want)
+	}
+	d.Begin(0, limit)
+	if got, want := r.call(t, http.MethodPost, "/once/x", "", http.Header{"Wait": {"300"}}).status, http.StatusOK; got != want {
+		t.Errorf("status: got %d, want %d", got, want)
+	}
+}
+
 // Guards against requests on kept connections that are passed on while a drain closes them.
 func TestDrainAnswersKeptConnections(t *testing.T) {
 	const rounds, callers = 10, 300
