--- a/internal/gateway/shutdown_review_test.go
+++ b/internal/gateway/shutdown_review_test.go
@@ -87,6 +87,46 @@
 	}
 }
 
+// Guards against another attempt in the last moments of a shutdown on a path without earlier answers.
+func TestShutdownNoAttemptInLastMoments(t *testing.T) {
+	const limit = 400 * time.Millisecond
+	for _, path := range []string{"/once/x", "/read/x"} {
+		t.Run(path, func(t *testing.T) {
+			t.Parallel()
+			var attempts atomic.Int32
+			draining := make(chan struct{})
+			handler := func(w http.ResponseWriter, r *http.Request) {
+				if attempts.Add(1) == 1 {
+					<-draining
+					<-time.After(limit - 30*time.Millisecond)
+					refuseRequest(w, r)
+
+					return
+				}
+				<-r.Context().Done()
+			}
+			a, b := newBackend(t, "a", handler), newBackend(t, "b", handler)
+			d := newDrainer(t)
+			r := newTestGatewayWith(t, func(s *gateway.Settings) { s.Drainer = d }, a.server(placer.Plain), b.server(placer.Plain))
+			result := heldRequest(t, r, path, "r1")
+			for attempts.Load() == 0 {
+				<-time.After(time.Millisecond)
+			}
+			d.Begin(0, limit)
+			close(draining)
+			if err := r.gateway.Drain(t.Context()); err != nil {
+				t.Errorf("drain: got %v, want no error", err)
+			}
+			if got, want := (<-result).status, http.StatusServiceUnavailable; got != want {
+				t.Errorf("status: got %d, want %d", got, want)
+			}
+			if got, want := int(attempts.Load()), 1; got != want {
+				t.Errorf("attempts: got %d, want %d", got, want)
+			}
+		})
+	}
+}
+
 // Guards against requests on kept connections that are passed on while a drain closes them.
 func TestDrainAnswersKeptConnections(t *testing.T) {
 	const rounds, callers = 10, 300
