--- a/internal/gateway/shutdown.go
+++ b/internal/gateway/shutdown.go
@@ -36,7 +36,8 @@
 }
 
 // expectedTime returns the time in which the answer is expected to be complete once the request
-// is sent, at least minRetryTime and at most until its deadline. promptRead states that its prompt has been processed.
+// is sent, at least minRetryTime and at most until its deadline. promptRead states that its
+// prompt has been processed.
 func (f *forwarder) expectedTime(promptRead bool) time.Duration {
 	var expected time.Duration
 	switch {
