--- a/cmd/damasklever/demo.go
+++ b/cmd/damasklever/demo.go
@@ -54,6 +54,9 @@
 	}
 }
 
+// cleanup closes one part of the demo.
+type cleanup func()
+
 // demo runs all processes of the system in one program.
 type demo struct {
 	out    io.Writer
@@ -62,7 +65,7 @@
 	dir    string
 	start  time.Time
 	// cleanups are run by close in reverse order.
-	cleanups []func()
+	cleanups []cleanup
 	control  string // ip:port
 	entry    string // ip:port for callers
 	router   *router.Router
@@ -94,7 +97,7 @@
 }
 
 // onClose registers a function that close calls, the last registered one first.
-func (d *demo) onClose(fn func()) { d.cleanups = append(d.cleanups, fn) }
+func (d *demo) onClose(fn cleanup) { d.cleanups = append(d.cleanups, fn) }
 
 // printStep prints a line with the time since the start.
 func (d *demo) printStep(format string, args ...any) {
