agent: tell the entries how work ended when the drain time is over

At the end of its drain time an agent closed its connections in the middle of calls and streams. Its entries saw a broken connection: a stream was resumed at an agent that was gone, and a booking that had a grant but had not been sent counted as one that may have run, so its caller got 502 instead of another server. The engine went on with the work. The agent process did not pass its drain setting on, so that the process ended it and the agent was not deregistered.

Until the end an agent also started any work that had a grant, although the expected time of an ask is known.

Now the drainer keeps the time of the agent's shutdown. A call whose expected time no longer fits is refused as not run. At the end, work that was not sent is refused, other work is revoked, and cancelled at the engine, before the connections are closed.

--- a/cmd/damasklever/agent.go
+++ b/cmd/damasklever/agent.go
@@ -34,6 +34,7 @@
 	return agent.Settings{
 		Name: s.Name, Listen: s.Listen, Addr: s.Advertise, Backend: s.Backend, Control: s.Control,
 		Region: s.Region, Centre: s.Centre, Service: s.Service, Phase: s.Phase, Pieces: s.Pieces, Slots: s.Slots, Hosts: s.Hosts,
+		DrainTimeout: s.Drain,
 	}
 }
 
@@ -45,7 +46,8 @@
 	if err != nil {
 		return errors.Newf("set up agent: %w", err)
 	}
-	r.drain = s.Drain
+	// The agent limits its drain time itself. This limit only ends a hung shutdown.
+	r.drain = s.Drain + shutdownMargin
 	r.start, r.ready, r.done = a.Start, a.Ready, a.Done()
 	r.dump = func() any { return a.Dump() }
 	r.beginShutdown = func() { a.BeginDrain("shutting down") }
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -13,6 +13,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 
 	"github.com/damasklever/damasklever/internal/correlator"
+	"github.com/damasklever/damasklever/internal/drainer"
 	"github.com/damasklever/damasklever/internal/driver"
 	"github.com/damasklever/damasklever/internal/fencer"
 	"github.com/damasklever/damasklever/internal/granter"
@@ -62,6 +63,7 @@
 	closeOnce  sync.Once
 	stopTimers []func()    // stop the periodic timers
 	leaving    atomic.Bool // drained by an operator, or shutting down
+	drainer    *drainer.Drainer
 
 	// initialAttach is the registration sent by the subscriber. It must not change
 	// after the subscriber has started.
@@ -108,7 +110,7 @@
 	a := &Agent{
 		settings: s, deps: d, epoch: newEpoch(d.Timer.Now()), queue: queue,
 		fencer: fencer.New(), metrics: newMetrics(s), backend: driver.New(s.Backend, s.StallTimeout),
-		ready: make(chan struct{}), done: make(chan struct{}),
+		ready: make(chan struct{}), done: make(chan struct{}), drainer: drainer.New(d.Timer),
 		phase: s.Phase, wakeOrders: make(chan struct{}, 1), control: noControl{},
 		operations: make(map[string]*operation), controlStreams: make(map[*outbox]struct{}),
 		outboxes: make(map[*outbox]struct{}), cachedPrefixes: make(map[uint64]struct{}),
@@ -120,6 +122,7 @@
 		epoch: a.epoch, plain: s.Phase == phasePlain,
 		leaseTimeout: s.Lease, resultRetention: s.ResultRetention, isolateTimeout: suspectIsolateTimeout,
 	}, queue, crashes, a.metrics)
+	a.machine.fits = a.drainer.Fits
 	if d.Registry != nil {
 		if err := a.metrics.register(d.Registry); err != nil {
 			return nil, err
@@ -235,8 +238,8 @@
 func (a *Agent) Done() <-chan struct{} { return a.done }
 
 // BeginDrain shuts the agent down gracefully: it refuses new and queued asks with the
-// reason, waits up to Settings.DrainTimeout for running work and then stops the agent.
-// It does not block. Only the first call has an effect.
+// reason, waits up to Settings.DrainTimeout for running work, ends the work that remains and
+// then stops the agent. It does not block. Only the first call has an effect.
 func (a *Agent) BeginDrain(reason string) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
@@ -248,10 +251,25 @@
 	now := a.deps.Timer.Now()
 	a.deps.Log.Info().Str("server", a.settings.Name).Str("reason", reason).Msg("leave")
 	a.performActions(a.machine.BeginDrain(now, reason))
-	a.cancelDrainTimer = a.deps.Timer.After(a.settings.DrainTimeout, func(time.Time) { a.deregisterAndClose() })
+	limit := a.settings.DrainTimeout - drainer.AnswerTime(a.settings.DrainTimeout)
+	a.drainer.Begin(limit, limit)
+	stopRevoke := a.deps.Timer.After(limit, func(now time.Time) { a.revokeAll(now, reason) })
+	stopClose := a.deps.Timer.After(limit+drainer.MaxAnswerTime, func(time.Time) { a.deregisterAndClose() })
+	a.cancelDrainTimer = func() {
+		stopRevoke()
+		stopClose()
+	}
 	go a.sendLoad(now)
 }
 
+// revokeAll ends all work, so that the entries know what became of it before the agent closes
+// their connections.
+func (a *Agent) revokeAll(now time.Time, reason string) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.performActions(a.machine.RevokeAll(now, reasonLeaving+": "+reason))
+}
+
 // deregisterAndClose deregisters and closes the agent in a new goroutine, because its
 // callers are timer callbacks, which must not block.
 func (a *Agent) deregisterAndClose() {
--- a/internal/agent/dispatch.go
+++ b/internal/agent/dispatch.go
@@ -25,6 +25,9 @@
 		m.sendRefused(s, id, reasonPhase, 0)
 	case a.stage == stageCancelling:
 		m.sendRefused(s, id, reasonWithdrawn, 0)
+	case a.stage == stageGranted && !m.fits(a.cost):
+		m.refuseAttempt(now, a, reasonLeaving+": "+m.drainReason, 0)
+		m.applyDecisions(now, m.queue.Withdraw(now, id))
 	case a.stage == stageGranted:
 		a.call = call
 		m.useGrant(now, a)
--- a/internal/agent/harness_test.go
+++ b/internal/agent/harness_test.go
@@ -207,7 +207,7 @@
 
 // newHarness starts an engine and its agent. The test controls the agent's clock; the
 // connections are real.
-func newHarness(t *testing.T, s emulator.EngineSettings) *harness {
+func newHarness(t *testing.T, s emulator.EngineSettings, change ...func(*agent.Settings)) *harness {
 	t.Helper()
 	engine, err := emulator.NewEngine(s)
 	if err != nil {
@@ -218,13 +218,13 @@
 	}
 	t.Cleanup(func() { _ = engine.Close() })
 	h := &harness{t: t, engine: engine, clock: timer.NewManual(time.Unix(1e6, 0)), control: newControl()}
-	h.startAgent(engine.Addr(), s.Role, s.Pieces)
+	h.startAgent(engine.Addr(), s.Role, s.Pieces, change...)
 
 	return h
 }
 
 // newPlainHarness starts a plain service with two call slots and its agent.
-func newPlainHarness(t *testing.T) *harness {
+func newPlainHarness(t *testing.T, change ...func(*agent.Settings)) *harness {
 	t.Helper()
 	plain := emulator.NewPlainService(30 * time.Millisecond)
 	if err := plain.Start("127.0.0.1:0"); err != nil {
@@ -232,7 +232,7 @@
 	}
 	t.Cleanup(func() { _ = plain.Close() })
 	h := &harness{t: t, plain: plain, clock: timer.NewManual(time.Unix(1e6, 0)), control: newControl()}
-	h.startAgent(plain.Addr(), "plain", 2)
+	h.startAgent(plain.Addr(), "plain", 2, change...)
 
 	return h
 }
@@ -241,12 +241,16 @@
 // engine and one that waits for its dispatch.
 const testMaxPrefills = 3
 
-func (h *harness) startAgent(backend, phase string, blocks int64) {
+func (h *harness) startAgent(backend, phase string, blocks int64, change ...func(*agent.Settings)) {
 	h.t.Helper()
-	testAgent, err := agent.New(agent.Settings{
+	settings := agent.Settings{
 		Name: "s1", Service: "desk", Region: "kochi", Backend: backend, Phase: phase,
 		Pieces: blocks, Slots: testMaxPrefills, StallTimeout: 300 * time.Millisecond,
-	}, agent.Deps{Timer: h.clock, Log: testLogger(h.t), Control: h.control})
+	}
+	for _, f := range change {
+		f(&settings)
+	}
+	testAgent, err := agent.New(settings, agent.Deps{Timer: h.clock, Log: testLogger(h.t), Control: h.control})
 	if err != nil {
 		h.t.Fatal(err)
 	}
--- a/internal/agent/lifecycle.go
+++ b/internal/agent/lifecycle.go
@@ -156,6 +156,18 @@
 	return m.takeActions()
 }
 
+// RevokeAll ends all attempts.
+func (m *machine) RevokeAll(now time.Time, reason string) []action {
+	m.refuseUnsent(now, reason, 0, func(*attempt) bool { return true })
+	for _, id := range m.sortedIDs() {
+		if a := m.attempts[id]; a != nil {
+			m.revoke(now, a, reason)
+		}
+	}
+
+	return m.takeActions()
+}
+
 // EndDrain accepts new asks again after an operator has ended a drain.
 func (m *machine) EndDrain() { m.drainReason = "" }
 
--- a/internal/agent/machine.go
+++ b/internal/agent/machine.go
@@ -47,6 +47,7 @@
 	phase                                wire.Phase
 	rank                                 int32
 	units                                int64
+	cost                                 time.Duration // expected time on the backend server
 	stage                                stage
 	createdAt, stageSince                time.Time
 	stream                               stream
@@ -108,6 +109,7 @@
 	queue       grantQueue
 	correlator  *correlator.Correlator
 	blocked     func(digest string, now time.Time) bool
+	fits        func(expected time.Duration) bool // whether work can end before the agent stops
 	attempts    map[string]*attempt
 	leases      map[string]time.Time // time of the last renewal by lease ID
 	entryEpochs map[string]uint64    // highest epoch seen by name of the entry
@@ -134,6 +136,7 @@
 	return &machine{
 		settings: settings, queue: q, correlator: c, metrics: r, startedAt: now,
 		blocked:  func(string, time.Time) bool { return false },
+		fits:     func(time.Duration) bool { return true },
 		attempts: make(map[string]*attempt), leases: make(map[string]time.Time),
 		entryEpochs: make(map[string]uint64), ended: make(map[string]ended),
 	}
@@ -228,6 +231,7 @@
 		service: ask.GetService(), digest: ask.GetDigest(),
 		leaseID: newLeaseID(ask.GetEntry(), ask.GetEpoch()),
 		phase:   ask.GetPhase(), rank: ask.GetRank(), units: ask.GetPieces(),
+		cost:  time.Duration(ask.GetCost()) * time.Microsecond,
 		stage: stageQueued, createdAt: now, stageSince: now, stream: s, suspect: suspect,
 	}
 	if m.settings.plain {
@@ -238,7 +242,7 @@
 	m.applyDecisions(now, m.queue.Ask(now, granter.Ask{
 		ID: a.id, Entry: a.leaseID, Caller: a.caller, Service: a.service,
 		Rank: int(a.rank), Due: deadline, Pieces: int(a.units),
-		Cost: time.Duration(ask.GetCost()) * time.Microsecond,
+		Cost: a.cost,
 		Hold: time.Duration(ask.GetHold()) * time.Microsecond,
 	}))
 }
--- a/internal/drainer/drainer.go
+++ b/internal/drainer/drainer.go
@@ -16,6 +16,16 @@
 // ErrStopping is the cause of contexts that end because of a shutdown.
 var ErrStopping = errors.New("the process is stopping")
 
+// MaxAnswerTime is the longest time for sending the final answers.
+const MaxAnswerTime = time.Second
+
+// AnswerTime returns the part of a drain time that is left for sending the final answers.
+func AnswerTime(drain time.Duration) time.Duration {
+	const fraction = 5
+
+	return min(MaxAnswerTime, drain/fraction)
+}
+
 // Drainer keeps the time of the shutdown of one process. It is safe for concurrent use.
 type Drainer struct {
 	timer timer.Service
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -120,10 +120,10 @@
 func (r *Router) BeginDrain() {
 	r.drainOnce.Do(func() {
 		s := r.settings
-		answerTime := min(maxAnswerTime, s.Drain/answerTimeFraction)
+		limit := s.Linger + s.Drain - drainer.AnswerTime(s.Drain)
 		ctx, cancel := context.WithCancel(r.ctx)
-		r.timers.After(s.Linger+s.Drain-answerTime+maxAnswerTime, func(time.Time) { cancel() })
-		r.drainer.Begin(s.Linger, s.Linger+s.Drain-answerTime)
+		r.timers.After(limit+drainer.MaxAnswerTime, func(time.Time) { cancel() })
+		r.drainer.Begin(s.Linger, limit)
 		r.limitRequests()
 		if r.listener != nil {
 			r.listener.BeginDrain()
@@ -133,13 +133,6 @@
 	})
 }
 
-const (
-	// maxAnswerTime limits the time for sending the final answers, which answerTimeFraction
-	// makes shorter where the Drain setting is short.
-	maxAnswerTime      = time.Second
-	answerTimeFraction = 5
-)
-
 // limitRequests makes all requests in flight end before the process does.
 func (r *Router) limitRequests() {
 	for _, s := range r.shards {
