listener: send "100 Continue" behind a response that is being written

A caller that sends a request with "Expect: 100-continue" right after a response waited in vain for the interim response: where the response had reached it before the listener had noted its end, the interim one was left out. Behind a pipelined request that was not in the queue yet it was sent before the response to that one.

Now the interim response is remembered and sent when the last response before it is out.

--- a/internal/listener/connection.go
+++ b/internal/listener/connection.go
@@ -38,6 +38,7 @@
 	mu          sync.Mutex
 	queue       []*exchange // the first one is running
 	queueClosed bool        // no further requests are queued
+	continueDue bool        // the caller waits for "100 Continue" behind a response
 	// stopHeaderTimer stops the timer of the header that is being received; nil without one.
 	stopHeaderTimer func()
 
@@ -145,6 +146,14 @@
 	}
 }
 
+// queued is called after a request that was received completely has been added to the queue.
+func (c *connection) queued() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.unqueued.Add(-1)
+	c.continueIfIdle()
+}
+
 // run serves exchanges until the queue is empty.
 func (c *connection) run(e *exchange) {
 	for e != nil {
@@ -171,6 +180,7 @@
 
 		return nil
 	}
+	c.continueIfIdle()
 	_ = c.conn.SetReadDeadline(time.Now().Add(c.l.settings.IdleTimeout))
 
 	return nil
--- a/internal/listener/inputchecker.go
+++ b/internal/listener/inputchecker.go
@@ -160,6 +160,9 @@
 // OnComplete implements nbhttp.Processor.
 func (i *inputChecker) OnComplete(parser *nbhttp.Parser) {
 	i.inBody, i.begun, i.completed = false, false, true
+	if i.expectContinue {
+		i.conn.cancelContinue()
+	}
 	if i.rejection != nil {
 		i.Clean(parser)
 
@@ -171,12 +174,26 @@
 	i.Processor.OnComplete(parser)
 }
 
-// sendContinue answers "Expect: 100-continue", unless a response is being written: the
-// interim response would corrupt it.
+// sendContinue answers "Expect: 100-continue", after the responses to earlier requests.
 func (c *connection) sendContinue() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if len(c.queue) == 0 {
+	c.continueDue = true
+	c.continueIfIdle()
+}
+
+// cancelContinue is called when the caller has sent the body without waiting.
+func (c *connection) cancelContinue() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.continueDue = false
+}
+
+// continueIfIdle sends the interim response that is due, unless an earlier request has no
+// response yet. The caller holds c.mu.
+func (c *connection) continueIfIdle() {
+	if c.continueDue && len(c.queue) == 0 && c.unqueued.Load() == 0 {
+		c.continueDue = false
 		_, _ = c.Write([]byte("HTTP/1.1 100 Continue\r\n\r\n"))
 	}
 }
--- a/internal/listener/inputchecker_test.go
+++ b/internal/listener/inputchecker_test.go
@@ -1,6 +1,7 @@
 package listener_test
 
 import (
+	"context"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -119,6 +120,55 @@
 	}
 }
 
+// Guards against a caller that waits in vain for "100 Continue" because the response to its request
+// before was still being written.
+func TestExpectContinueBehindResponse(t *testing.T) {
+	for name, waits := range map[string]bool{"waits": true, "sends the body at once": false} {
+		t.Run(name, func(t *testing.T) {
+			b, release := echoBackend(), make(chan struct{})
+			echo := b.call
+			b.call = func(ctx context.Context, c *listener.Call) listener.Reply {
+				if c.Path == "/first" {
+					<-release
+				}
+
+				return echo(ctx, c)
+			}
+			l, _ := start(t, b, listener.Settings{})
+			conn, reader := connect(t, l)
+			head, body, _ := strings.Cut(post("/s/d/p", "x", "Expect: 100-continue"), "\r\n\r\n")
+			request := post("/s/d/first", "y") + head + "\r\n\r\n"
+			if !waits {
+				request += body
+			}
+			io.WriteString(conn, request)
+			close(release)
+			if got, want := receive(t, reader).body, "POST /first y"; got != want {
+				t.Errorf("first: got %q, want %q", got, want)
+			}
+			if waits {
+				line, _ := reader.ReadString('\n')
+				if got, want := line, "HTTP/1.1 100 Continue\r\n"; got != want {
+					t.Fatalf("got %q, want %q", got, want)
+				}
+				reader.ReadString('\n')
+				io.WriteString(conn, body)
+			}
+			second := receive(t, reader)
+			if !waits && second.status == http.StatusContinue {
+				second = receive(t, reader)
+			}
+			if got, want := second.body, "POST /p x"; got != want {
+				t.Errorf("second: got %q, want %q", got, want)
+			}
+			io.WriteString(conn, post("/s/d/q", "z"))
+			if got, want := receive(t, reader).body, "POST /q z"; got != want {
+				t.Errorf("third: got %q, want %q", got, want)
+			}
+		})
+	}
+}
+
 // Guards against a caller that never finishes a header and keeps its connection open.
 func TestHeaderTimeout(t *testing.T) {
 	l, clock := start(t, echoBackend(), listener.Settings{HeaderTimeout: 3 * time.Second})
--- a/internal/listener/listener.go
+++ b/internal/listener/listener.go
@@ -247,7 +247,7 @@
 	}
 	if callerConn := l.connection(wrapped.Conn); callerConn != nil && parser != nil {
 		callerConn.enqueue(newExchange(r))
-		callerConn.unqueued.Add(-1)
+		callerConn.queued()
 	}
 }
 
