Use yamux v0.1.1 instead of a wrapped connection

Cause: yamux v0.1.2 added shutdownCh to the select of Stream.Read and of a Stream.Write that waits for the window; both poll from the start of Session.Close to the end of its receive loop.

Change: yamux v0.1.1, whose streams wait for their own state, and no wrapper. Between the two versions, the code differs only in those two selects, in what a stream reads after its own Close, in AcceptStreamWithContext and in the type of the logger. The frames are the same.

--- a/internal/messenger/listener.go
+++ b/internal/messenger/listener.go
@@ -18,7 +18,7 @@
 	done     chan struct{}
 	wg       sync.WaitGroup
 	mu       sync.Mutex
-	sessions map[*Session]struct{}
+	sessions map[*yamux.Session]struct{}
 	closed   bool
 }
 
@@ -35,7 +35,7 @@
 	}
 	l := &Listener{
 		inner: inner, handle: handle, ctx: ctx, cancel: cancel,
-		done: make(chan struct{}), sessions: make(map[*Session]struct{}),
+		done: make(chan struct{}), sessions: make(map[*yamux.Session]struct{}),
 	}
 	l.wg.Add(1)
 	go l.acceptLoop()
@@ -91,8 +91,10 @@
 }
 
 func (l *Listener) startSession(conn net.Conn) {
-	session, err := newSession(conn, yamux.Server)
+	session, err := yamux.Server(conn, yamuxConfig())
 	if err != nil {
+		_ = conn.Close()
+
 		return
 	}
 	l.mu.Lock()
@@ -107,19 +109,19 @@
 	go l.serveSession(session)
 }
 
-func (l *Listener) serveSession(session *Session) {
+func (l *Listener) serveSession(session *yamux.Session) {
 	defer l.wg.Done()
 	ctx, cancel := context.WithCancel(l.ctx)
 	defer cancel()
 	for {
-		inner, err := session.inner.AcceptStream()
+		inner, err := session.AcceptStream()
 		if err != nil {
 			break
 		}
 		l.wg.Add(1)
 		go func() {
 			defer l.wg.Done()
-			stream := newStream(inner, session.conn)
+			stream := newStream(inner)
 			defer func() { _ = stream.Close() }()
 			l.handle(ctx, stream)
 		}()
--- a/internal/messenger/messenger.go
+++ b/internal/messenger/messenger.go
@@ -44,15 +44,12 @@
 // Stream is one ordered stream of messages in each direction. Send may be called
 // concurrently with Recv and with other calls of Send.
 type Stream struct {
-	inner  *endingStream
+	inner  *yamux.Stream
 	reader *bufio.Reader
 	mu     sync.Mutex // serializes writes
 }
 
-func newStream(s *yamux.Stream, conn *connection) *Stream {
-	conn.add(s)
-	inner := &endingStream{Stream: s, conn: conn}
-
+func newStream(inner *yamux.Stream) *Stream {
 	return &Stream{inner: inner, reader: bufio.NewReader(inner)}
 }
 
@@ -101,7 +98,11 @@
 
 // Close closes the stream in both directions.
 func (s *Stream) Close() error {
-	if err := s.inner.Close(); err != nil {
+	// In yamux, Close only ends the sending direction. The read deadline unblocks
+	// a Recv in another goroutine.
+	err := s.inner.Close()
+	_ = s.inner.SetReadDeadline(time.Unix(1, 0))
+	if err != nil {
 		return errors.Newf("close stream: %w", err)
 	}
 
@@ -111,20 +112,6 @@
 // Session is a connection to another process.
 type Session struct {
 	inner *yamux.Session
-	conn  *connection
-}
-
-// newSession starts a session on conn with start, yamux.Client or yamux.Server.
-func newSession(conn net.Conn, start func(io.ReadWriteCloser, *yamux.Config) (*yamux.Session, error)) (*Session, error) {
-	c := newConnection(conn)
-	inner, err := start(c, yamuxConfig())
-	if err != nil {
-		_ = conn.Close()
-
-		return nil, errors.Newf("start session: %w", err)
-	}
-
-	return &Session{inner: inner, conn: c}, nil
 }
 
 // Dial connects to addr, "ip:port". It fails after 3 s or when ctx ends.
@@ -134,12 +121,14 @@
 	if err != nil {
 		return nil, errors.Newf("dial %s: %w", addr, err)
 	}
-	session, err := newSession(conn, yamux.Client)
+	inner, err := yamux.Client(conn, yamuxConfig())
 	if err != nil {
-		return nil, errors.Newf("dial %s: %w", addr, err)
+		_ = conn.Close()
+
+		return nil, errors.Newf("start session with %s: %w", addr, err)
 	}
 
-	return session, nil
+	return &Session{inner: inner}, nil
 }
 
 // Open opens a new stream.
@@ -152,7 +141,7 @@
 		return nil, errors.Newf("open stream: %w", err)
 	}
 
-	return newStream(inner, s.conn), nil
+	return newStream(inner), nil
 }
 
 // Done returns a channel that is closed when the connection ends.
@@ -160,7 +149,6 @@
 
 // Close closes the connection and all its streams.
 func (s *Session) Close() error {
-	s.conn.end()
 	if err := s.inner.Close(); err != nil {
 		return errors.Newf("close session: %w", err)
 	}
