--- a/internal/gateway/shutdown_review_test.go
+++ b/internal/gateway/shutdown_review_test.go
@@ -127,15 +127,26 @@
 	}
 }
 
-// Guards against requests on kept connections that are passed on while a drain closes them.
-func TestDrainAnswersKeptConnections(t *testing.T) {
+// Guards against requests that are passed on while a drain closes their connections, which were
+// idle or had not sent a request.
+func TestDrainAnswersWhatItPassesOn(t *testing.T) {
 	const rounds, callers = 10, 300
-	for round := range rounds {
-		t.Run(fmt.Sprint(round), func(t *testing.T) { testDrainWithKeptConnections(t, callers) })
+	for name, test := range map[string]struct {
+		kept   bool
+		closed time.Duration // when the drain closes the connections
+	}{
+		"kept": {true, 0},
+		"new":  {false, gateway.FirstRequestWait},
+	} {
+		t.Run(name, func(t *testing.T) {
+			for range rounds {
+				testDrainCloses(t, callers, test.kept, test.closed)
+			}
+		})
 	}
 }
 
-func testDrainWithKeptConnections(t *testing.T, callers int) {
+func testDrainCloses(t *testing.T, callers int, kept bool, closed time.Duration) {
 	t.Helper()
 	var received sync.Map
 	a := newBackend(t, "a", func(w http.ResponseWriter, r *http.Request) {
@@ -150,14 +161,19 @@
 			t.Fatal(err)
 		}
 		defer conns[i].Close()
-		exchange(t, conns[i], http.MethodPost, "/once/x", "", nil)
+		if kept {
+			exchange(t, conns[i], http.MethodPost, "/once/x", "", nil)
+		}
 	}
+	// A response on a later connection shows that the others have been accepted.
+	r.call(t, http.MethodPost, "/once/x", "", nil)
 	var calls sync.WaitGroup
 	var lost atomic.Int32
+	begun := time.Now()
 	for i, conn := range conns {
 		calls.Go(func() {
-			id := fmt.Sprint("kept-", i)
-			<-time.After(time.Duration(i) * 10 * time.Microsecond)
+			id := fmt.Sprint("caller-", i)
+			<-time.After(time.Until(begun.Add(closed + time.Duration(i)*10*time.Microsecond)))
 			fmt.Fprintf(conn, "POST /once/x HTTP/1.1\r\nHost: h\r\nId: %s\r\nContent-Length: 2\r\n\r\nab", id)
 			response, err := http.ReadResponse(bufio.NewReader(conn), nil)
 			if err == nil {
@@ -179,3 +195,22 @@
 		t.Errorf("requests that were passed on and not answered: got %d of %d, want 0", got, callers)
 	}
 }
+
+// Guards against an answer to a request from before a shutdown that invites a next request.
+func TestDrainAnnouncesClose(t *testing.T) {
+	release := make(chan struct{})
+	a := newBackend(t, "a", func(w http.ResponseWriter, _ *http.Request) {
+		<-release
+		io.WriteString(w, "whole")
+	})
+	r := newTestGateway(t, nil, a.server(placer.Plain))
+	answer := heldRequest(t, r, "/once/x", "r1")
+	for len(a.arrivals()) == 0 {
+		<-time.After(time.Millisecond)
+	}
+	r.gateway.BeginDrain()
+	close(release)
+	if got := <-answer; got.status != http.StatusOK || !got.closes {
+		t.Errorf("answer: got status %d, closes %v, want 200, true", got.status, got.closes)
+	}
+}
