Start no HTTP server for a plan that arrives while the gateway closes

What was seen: an entry that gets a plan with other limits at the moment at which its drain ends does not end by itself. No request is lost by this: all of them have been answered then.

Cause: ApplyPlan looked whether the gateway is closed before it took the lock under which Close ends the HTTP servers. A server that was started after that is never ended, and Close waits for it forever.

Change: it looks under the lock.

--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -55,12 +55,15 @@
 // theirs.
 func (g *Gateway) ApplyPlan() {
 	plan := g.s.Plan()
-	if plan == nil || g.ctx.Err() != nil {
+	if plan == nil {
 		return
 	}
 	g.answerTimes.retain(plan.Paths())
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	if g.ctx.Err() != nil {
+		return
+	}
 	if next := boundsOf(plan.Bounds()); next != g.bounds {
 		g.startServer(next)
 	}
--- a/internal/gateway/shutdown_review_test.go
+++ b/internal/gateway/shutdown_review_test.go
@@ -15,8 +15,10 @@
 	"github.com/damasklever/damasklever/internal/drainer"
 	"github.com/damasklever/damasklever/internal/gateway"
 	"github.com/damasklever/damasklever/internal/grantclient"
+	"github.com/damasklever/damasklever/internal/matcher"
 	"github.com/damasklever/damasklever/internal/placer"
 	"github.com/damasklever/damasklever/internal/timer"
+	"github.com/damasklever/damasklever/internal/wire"
 )
 
 func newDrainer(t *testing.T) *drainer.Drainer {
@@ -214,3 +216,33 @@
 		t.Errorf("answer: got status %d, closes %v, want 200, true", got.status, got.closes)
 	}
 }
+
+// Guards against a close that waits forever for a server that a plan has started meanwhile.
+func TestCloseWhilePlansChange(t *testing.T) {
+	const rounds = 200
+	for range rounds {
+		r := newTestGateway(t, nil)
+		plans := make(chan struct{})
+		go func() {
+			defer close(plans)
+			for i := int64(0); r.gateway.Ready(); i++ {
+				p := standardPlan()
+				p.Bounds = &wire.Bounds{Idle: 1000 + i%2}
+				r.setPlan(matcher.New(p))
+				r.gateway.ApplyPlan()
+			}
+		}()
+		closed := make(chan struct{})
+		go func() {
+			<-time.After(time.Millisecond)
+			r.gateway.Close()
+			close(closed)
+		}()
+		select {
+		case <-closed:
+		case <-time.After(5 * time.Second):
+			t.Fatal("close: still waiting after 5 s, want it to end")
+		}
+		<-plans
+	}
+}
