Answer a request that needs no body before the end of a shutdown

What callers saw: a request that is refused by its head alone (no path, no or an unknown key) and whose body is still coming got no answer at the end of an entry's shutdown, and held the drain up until all connections were closed.

Cause: net/http reads the rest of a body before it writes the answer of a handler that has not read it. The end of the shutdown ended only the reads of the handler.

Change: the end of the request's context ends all reads of its body while its handler runs.

--- a/internal/gateway/forwarder.go
+++ b/internal/gateway/forwarder.go
@@ -78,6 +78,7 @@
 		panic(http.ErrAbortHandler)
 	}
 	f := &forwarder{g: g, w: w, r: r, arrived: g.s.Timer.Now()}
+	defer f.boundBody()() //nolint:contextcheck // uses the context of the request
 	if !f.readRequest() { //nolint:contextcheck // uses the context of the request
 		return
 	}
@@ -145,7 +146,7 @@
 		return false
 	}
 	f.pool = matcher.ChoosePool(f.path, randomFraction())
-	body, err := f.readBody(boundsOf(plan.Bounds()).body)
+	body, err := io.ReadAll(http.MaxBytesReader(f.w, f.r.Body, boundsOf(plan.Bounds()).body))
 	var tooLarge *http.MaxBytesError
 	switch {
 	case errors.As(err, &tooLarge):
@@ -174,15 +175,15 @@
 	return true
 }
 
-// readBody reads the body of the request until its end or until the request must be answered.
-func (f *forwarder) readBody(limit int64) ([]byte, error) {
+// boundBody ends reads of the request's body when the request must be answered. Without a handler
+// that reads it, net/http does so before it writes an answer. The returned function takes it back.
+func (f *forwarder) boundBody() func() bool {
 	if f.r.Body == http.NoBody {
-		return nil, nil
+		return func() bool { return true }
 	}
 	rc := http.NewResponseController(f.w)
-	defer context.AfterFunc(f.r.Context(), func() { _ = rc.SetReadDeadline(time.Unix(1, 0)) })()
 
-	return io.ReadAll(http.MaxBytesReader(f.w, f.r.Body, limit)) //nolint:wrapcheck // the error is not passed on
+	return context.AfterFunc(f.r.Context(), func() { _ = rc.SetReadDeadline(time.Unix(1, 0)) })
 }
 
 // requestTarget returns the path and query as the caller sent them, or "" if the target has
--- a/internal/gateway/shutdown_review_test.go
+++ b/internal/gateway/shutdown_review_test.go
@@ -246,3 +246,37 @@
 		<-plans
 	}
 }
+
+// Guards against a shutdown that waits for the body of a request that is refused without it.
+func TestShutdownAnswersBeforeBody(t *testing.T) {
+	const limit = 300 * time.Millisecond
+	a := newBackend(t, "a", respondWith(http.StatusOK, "whole"))
+	d := newDrainer(t)
+	r := newTestGatewayWith(t, func(s *gateway.Settings) { s.Drainer = d }, a.server(placer.Plain))
+	conn, err := (&net.Dialer{}).DialContext(t.Context(), "tcp", r.gateway.Addr())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	io.WriteString(conn, "POST /none/x HTTP/1.1\r\nHost: h\r\nId: x\r\nContent-Length: 2\r\n\r\na")
+	for r.gateway.Active() == 0 {
+		<-time.After(time.Millisecond)
+	}
+	// So that the answer does not end the connection.
+	<-time.After(50 * time.Millisecond)
+	d.Begin(0, limit)
+	ended := make(chan error, 1)
+	go func() { ended <- r.gateway.Drain(t.Context()) }()
+	conn.SetReadDeadline(time.Now().Add(limit + 2*time.Second))
+	response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	if err != nil {
+		t.Fatalf("answer: got error %v, want one", err)
+	}
+	defer response.Body.Close()
+	if got, want := response.StatusCode, http.StatusNotFound; got != want {
+		t.Errorf("status: got %d, want %d", got, want)
+	}
+	if err := <-ended; err != nil {
+		t.Errorf("drain: got %v, want no error", err)
+	}
+}
