grantserver: refuse waiting asks when the agent stops

An agent that stopped refused new asks, but kept those in its queue until it closed its connections half a second later, or until they were granted on a server that was about to leave. Their requests were held although other servers could have had them.

TestDrainRefusesWaitingAsks had no reply within 5 s before. Now the queue is drained when the shutdown begins, as it is when the server's report says that it is leaving.

--- a/internal/grantserver/grantserver.go
+++ b/internal/grantserver/grantserver.go
@@ -108,12 +108,14 @@
 	return !gs.down && !gs.leaving
 }
 
-// BeginDrain refuses new asks from now on. Existing grants stay valid.
+// BeginDrain refuses waiting and new asks from now on. Existing grants stay valid.
 func (gs *Server) BeginDrain() {
 	gs.mu.Lock()
 	defer gs.mu.Unlock()
+	now := gs.s.Timer.Now()
 	gs.leaving = true
-	gs.pushAll(gs.s.Timer.Now(), true)
+	gs.refuseWaiting(now)
+	gs.pushAll(now, true)
 }
 
 // Close stops the grant server and waits for its goroutines.
