recorder: do not take a file that cannot be read for a missing one

Callers would see: a control host that was expelled takes part again, or a host that is being opened replaces its log, because one read failed for the moment, as with too many open files.

Cause: Open asked for the mark of an expelled member, and for remains of an interrupted creation, and took every error for absence.

Change: only os.ErrNotExist means that a file is missing. Any other error is returned, and the supervisor opens the directory again.

Test: TestUnreadableFileIsNotMissing, three of four cases failed before: an expelled directory was opened, a log of 57 bytes was replaced by an empty one, and a directory that could not be read was called damaged, which makes a supervised host clear it.

--- a/internal/recorder/recorder.go
+++ b/internal/recorder/recorder.go
@@ -138,9 +138,13 @@
 }
 
 func (r *Recorder) open(s Settings) error {
-	if _, err := r.files.Read(expelledFile); err == nil {
+	_, err := r.files.Read(expelledFile)
+	if err == nil {
 		return ErrExpelled
 	}
+	if !errors.Is(err, os.ErrNotExist) {
+		return errors.Newf("read file %s: %w", expelledFile, err)
+	}
 	r.identity = &wire.Member{}
 	found, err := r.readFile(identityFile, r.identity)
 	if err != nil {
@@ -159,7 +163,11 @@
 // without one is treated as new.
 func (r *Recorder) create(s Settings) error {
 	for _, name := range []string{snapshotFile, logFile} {
-		if data, err := r.files.Read(name); err == nil && len(data) > 0 {
+		data, err := r.files.Read(name)
+		if err != nil && !errors.Is(err, os.ErrNotExist) {
+			return errors.Newf("read file %s: %w", name, err)
+		}
+		if len(data) > 0 {
 			return errors.Newf("file identity is missing, but file %s is not empty: %w", name, ErrDamaged)
 		}
 	}
--- a/internal/recorder/recorder_test.go
+++ b/internal/recorder/recorder_test.go
@@ -233,3 +233,66 @@
 		t.Errorf("open after expulsion: got %v, want %v", err, recorder.ErrExpelled)
 	}
 }
+
+// unreadable is a data directory of which one file cannot be read.
+type unreadable struct {
+	*disk
+	name string
+}
+
+func (u unreadable) Read(name string) ([]byte, error) {
+	if name == u.name {
+		return nil, errUnreadable
+	}
+
+	return u.disk.Read(name)
+}
+
+var errUnreadable = errors.New("input/output error")
+
+// Guards against a file that cannot be read for the moment being taken for one that does not
+// exist: an expelled member would take part again, and a new directory would replace its log.
+func TestUnreadableFileIsNotMissing(t *testing.T) {
+	tests := map[string]struct {
+		file string
+		lost string // file that is missing
+	}{
+		"mark of an expelled member":    {file: "expelled"},
+		"log without an identity":       {file: "log", lost: "identity"},
+		"snapshot without identity":     {file: "snapshot", lost: "identity"},
+		"snapshot of a whole directory": {file: "snapshot"},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			d := newDisk()
+			r, err := recorder.Open("data", recorder.Settings{Files: d})
+			if err != nil {
+				t.Fatal(err)
+			}
+			if err := r.Save(&wire.Vote{Term: 1}, entries(1, 1, 1)); err != nil {
+				t.Fatal(err)
+			}
+			if err := r.Expel(); err != nil {
+				t.Fatal(err)
+			}
+			if err := r.Close(); err != nil {
+				t.Fatal(err)
+			}
+			if test.file != "expelled" {
+				delete(d.names, "expelled")
+			}
+			delete(d.names, test.lost)
+			stored := slices.Clone(d.names["log"].data)
+			r, err = recorder.Open("data", recorder.Settings{Files: unreadable{d, test.file}})
+			if !errors.Is(err, errUnreadable) {
+				t.Errorf("open: got %v, want %v", err, errUnreadable)
+			}
+			if got := d.names["log"].data; !slices.Equal(got, stored) {
+				t.Errorf("log: got %d bytes, want the %d stored before", len(got), len(stored))
+			}
+			if err == nil {
+				_ = r.Close()
+			}
+		})
+	}
+}
