--- a/internal/controller/bootstrap.go
+++ b/internal/controller/bootstrap.go
@@ -39,8 +39,11 @@
 		return err
 	}
 	c.founding.Store(true)
-	if err := c.rec.Save(&wire.Vote{Term: firstTerm}, nil); err != nil {
-		return errors.Newf("bootstrap cluster: %w", err)
+	// A host may have voted before it received any entry.
+	if st.Vote.GetTerm() < firstTerm {
+		if err := c.rec.Save(&wire.Vote{Term: firstTerm}, nil); err != nil {
+			return errors.Newf("bootstrap cluster: %w", err)
+		}
 	}
 	err = c.rec.Snapshot(&wire.Snapshot{Index: firstIndex, Term: firstTerm, Members: members})
 	if err != nil {
@@ -53,9 +56,9 @@
 	return nil
 }
 
-// discoverMembers returns the initial members, or nil if the cluster already exists.
-// An answer from one member of the existing cluster is enough, as the others may be
-// down.
+// discoverMembers returns the initial members, or nil if the cluster already exists
+// without this host. An answer from one member of the existing cluster is enough, as the
+// others may be down.
 func (c *Controller) discoverMembers() (*wire.Members, error) {
 	known := map[uint64]*wire.Member{c.s.Number: c.self}
 	for round := 0; ; round++ {
@@ -77,10 +80,7 @@
 					m.GetAddr(), g.GetNumber(), m.GetNumber())
 			}
 			if g.GetMembers() != nil {
-				c.logIfReplaced(g.GetMembers())
-				c.knownMembers.Store(g.GetMembers())
-
-				return nil, nil //nolint:nilnil // documented above
+				return c.joinExisting(g.GetMembers()), nil
 			}
 			known[m.GetNumber()] = &wire.Member{Id: g.GetId(), Addr: m.GetAddr(), Number: m.GetNumber()}
 		}
@@ -101,6 +101,38 @@
 	return members, nil
 }
 
+// joinExisting returns the members of an existing cluster if this host is one of the initial
+// ones, and otherwise nil, as it then waits to be added or to receive the log.
+func (c *Controller) joinExisting(members *wire.Members) *wire.Members {
+	if c.isInitialVoter(members) {
+		return members
+	}
+	c.logIfReplaced(members)
+	c.knownMembers.Store(members)
+
+	return nil
+}
+
+// isInitialVoter reports whether members are those that the cluster started with, and this
+// host, whose log is empty, is one of them. A learner becomes a voter only once it has entries,
+// so a voter without any is an initial one. It must have the first snapshot like the others, or
+// the cluster would be lost with the only disk that has it.
+func (c *Controller) isInitialVoter(members *wire.Members) bool {
+	voters := members.GetVoters()
+	if len(members.GetLearners()) > 0 || len(voters) != len(c.s.Members) {
+		return false
+	}
+	for _, m := range c.s.Members {
+		if !slices.ContainsFunc(voters, func(v *wire.Member) bool {
+			return v.GetNumber() == m.GetNumber() && v.GetAddr() == m.GetAddr()
+		}) {
+			return false
+		}
+	}
+
+	return slices.ContainsFunc(voters, func(v *wire.Member) bool { return v.GetId() == c.self.GetId() })
+}
+
 // logIfReplaced logs an error if an existing cluster has this host's number under
 // another identity, as it does when this host has lost its data directory.
 func (c *Controller) logIfReplaced(members *wire.Members) {
--- a/internal/controller/full_disks_test.go
+++ b/internal/controller/full_disks_test.go
@@ -545,3 +545,32 @@
 	t.Helper()
 	askCommand(t, host, &wire.Command{Id: "remove", Body: &wire.Command_Peering{Peering: &wire.Peering{Verb: "remove", Addr: addr}}})
 }
+
+// Guards against hosts that wait for a cluster whose only copy is lost with a disk.
+func TestFirstHostLosesItsDisk(t *testing.T) {
+	hosts := superviseCluster(t, func(host int, s *supervised) {
+		if host == 0 {
+			s.disk.set(refusals["all"])
+		}
+	})
+	h := hosts[0]
+	awaitWithin(t, "the other hosts wait for the first one", func() bool { return h.opened.Load() > 2 })
+	// The host writes the first snapshot and can't be elected, so no other host gets it.
+	votes := 0
+	h.disk.set(func(operation, name string, _ int) bool {
+		if operation == "write" && name == "vote.new" {
+			votes++
+		}
+
+		return votes > 2 && name == "vote.new"
+	})
+	awaitWithin(t, "the other hosts know of the cluster", func() bool {
+		return hosts[1].Dump().Founded && hosts[2].Dump().Founded
+	})
+	h.stop()
+	h.disk = newFaultyDisk()
+	h.start()
+	w := startPlanWriter(t, hosts)
+	awaitWithin(t, "the first change is acknowledged", func() bool { return w.acked.Load() > 0 })
+	checkRecovered(t, hosts, w, awaitMembers(t, hosts))
+}
