Revert "listener: close connections by timers of their own"

The cause that the commit names is right; it needs a change that does not close more often at the same time as the caller.

This reverts.

--- a/internal/listener/connection.go
+++ b/internal/listener/connection.go
@@ -43,15 +43,6 @@
 	stopHeaderTimer func()
 
 	output output
-
-	closeTimer closeTimer
-}
-
-// closeTimer closes an idle connection.
-type closeTimer struct {
-	mu     sync.Mutex
-	timer  *time.Timer // nil if the connection may stay open
-	closed bool
 }
 
 // output tracks the bytes that have not been sent yet because the caller reads slowly.
@@ -69,39 +60,9 @@
 	return &connection{l: l, conn: conn, ctx: ctx, cancel: cancel, acceptedAt: l.timers.Now()}
 }
 
-// closeAfter closes the connection after d. The deadlines of the engine are of no use for this: it
-// sets one for a new connection only after the first request may have been received.
-func (c *connection) closeAfter(d time.Duration) {
-	c.closeTimer.mu.Lock()
-	defer c.closeTimer.mu.Unlock()
-	c.closeTimer.stop()
-	if !c.closeTimer.closed {
-		c.closeTimer.timer = time.AfterFunc(d, func() { _ = c.conn.Close() })
-	}
-}
-
-// keepOpen ends the effect of closeAfter.
-func (c *connection) keepOpen() {
-	c.closeTimer.mu.Lock()
-	defer c.closeTimer.mu.Unlock()
-	c.closeTimer.stop()
-}
-
-// stop stops the timer. The caller holds mu.
-func (t *closeTimer) stop() {
-	if t.timer != nil {
-		t.timer.Stop()
-		t.timer = nil
-	}
-}
-
 // handleClose is called after the connection was closed.
 func (c *connection) handleClose() {
 	c.cancel()
-	c.closeTimer.mu.Lock()
-	c.closeTimer.closed = true
-	c.closeTimer.stop()
-	c.closeTimer.mu.Unlock()
 	c.updateHeaderTimer(false)
 	c.output.mu.Lock()
 	defer c.output.mu.Unlock()
@@ -180,7 +141,7 @@
 	c.l.active.Add(1)
 	c.queue = append(c.queue, e)
 	if len(c.queue) == 1 {
-		c.keepOpen()
+		_ = c.conn.SetReadDeadline(time.Time{})
 		go c.run(e)
 	}
 }
@@ -220,7 +181,7 @@
 		return nil
 	}
 	c.continueIfIdle()
-	c.closeAfter(c.l.settings.IdleTimeout)
+	_ = c.conn.SetReadDeadline(time.Now().Add(c.l.settings.IdleTimeout))
 
 	return nil
 }
@@ -280,12 +241,12 @@
 func (c *connection) shutdown() {
 	switch {
 	case c.invalidInput.Load():
-		c.closeAfter(discardTimeout)
+		_ = c.conn.SetReadDeadline(time.Now().Add(discardTimeout))
 	case c.closeDelimited.Load() || c.l.socket == nil || c.l.socket.shutdown.Load():
 		// No connections are accepted during a drain, so no descriptor is reused.
 		_ = c.conn.Close()
 	default:
-		c.closeAfter(callerCloseTimeout)
+		_ = c.conn.SetReadDeadline(time.Now().Add(callerCloseTimeout))
 	}
 }
 
--- a/internal/listener/listener.go
+++ b/internal/listener/listener.go
@@ -80,7 +80,7 @@
 		ReadLimit:          int(s.MaxBody) + s.MaxHeader + framingMargin,
 		MaxHTTPBodySize:    int(s.MaxBody),
 		MaxWriteBufferSize: s.MaxBuffered,
-		KeepaliveTime:      engineDeadline,
+		KeepaliveTime:      s.IdleTimeout,
 		// Handlers only queue the request, so a small pool is enough.
 		MessageHandlerPoolSize: handlerPoolSize,
 		SupportServerOnly:      true,
@@ -98,8 +98,6 @@
 }
 
 const (
-	// engineDeadline is the engine's time limit for an idle connection. The listener has its own.
-	engineDeadline = 100 * 365 * 24 * time.Hour
 	// framingMargin is the space for chunk framing in addition to headers and body.
 	framingMargin   = 64 << 10
 	handlerPoolSize = 64
@@ -193,9 +191,7 @@
 }
 
 func (l *Listener) onOpen(c net.Conn) {
-	callerConn := newConnection(l, c)
-	l.connections.Store(c, callerConn)
-	callerConn.closeAfter(l.settings.IdleTimeout)
+	l.connections.Store(c, newConnection(l, c))
 }
 
 func (l *Listener) onClose(c net.Conn, _ error) {
