damasklever: an agent with a drain time of zero does not wait

The agent takes a drain time of zero for its default of five minutes, and since it gets the setting an operator's zero would have meant that. TestAgentDrainSetting checks both values.

--- a/cmd/damasklever/agent.go
+++ b/cmd/damasklever/agent.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/urfave/cli/v3"
@@ -30,11 +31,14 @@
 	}
 }
 
+// minAgentDrain stands for a drain time of zero, which would select the agent's default.
+const minAgentDrain = time.Millisecond
+
 func agentSettings(s configurer.Agent) agent.Settings {
 	return agent.Settings{
 		Name: s.Name, Listen: s.Listen, Addr: s.Advertise, Backend: s.Backend, Control: s.Control,
 		Region: s.Region, Centre: s.Centre, Service: s.Service, Phase: s.Phase, Pieces: s.Pieces, Slots: s.Slots, Hosts: s.Hosts,
-		DrainTimeout: s.Drain,
+		DrainTimeout: max(s.Drain, minAgentDrain),
 	}
 }
 
