Test a change of the leader while another host cannot write its vote

TestDisksFullOneAfterAnother wrote no vote while a disk was full, so it said nothing about votes that are refused. This test starts the leader, or a third host, again in that time.

--- a/internal/controller/full_disks_test.go
+++ b/internal/controller/full_disks_test.go
@@ -574,3 +574,35 @@
 	awaitWithin(t, "the first change is acknowledged", func() bool { return w.acked.Load() > 0 })
 	checkRecovered(t, hosts, w, awaitMembers(t, hosts))
 }
+
+// Guards against changes that stay refused after the leader has changed while another host
+// could not write its vote.
+func TestLeaderChangesWhileDiskIsFull(t *testing.T) {
+	for name, refuse := range refusals {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			hosts := superviseCluster(t, func(int, *supervised) {})
+			w := startPlanWriter(t, hosts)
+			awaitWithin(t, "the first change is acknowledged", func() bool { return w.acked.Load() > 0 })
+			ids := awaitMembers(t, hosts)
+			for i, h := range hosts {
+				w.stop()
+				<-w.done
+				awaitWithin(t, "a host leads", func() bool { return leading(hosts) != nil })
+				h.disk.set(refuse)
+				restarted := leading(hosts)
+				if restarted == nil || restarted == h {
+					restarted = hosts[(i+1)%len(hosts)]
+				}
+				restarted.stop()
+				restarted.start()
+				w = startPlanWriterFrom(t, hosts, w.last.Load()+1)
+				<-time.After(fullTime)
+				t.Logf("refused %d operations", h.disk.refusals())
+				h.disk.set(nil)
+			}
+			awaitWithin(t, "a change is acknowledged", func() bool { return w.acked.Load() > 0 })
+			checkRecovered(t, hosts, w, ids)
+		})
+	}
+}
