--- a/internal/configurer/agent.go
+++ b/internal/configurer/agent.go
@@ -33,7 +33,7 @@
 		Option{"pieces", "", "memory of the engine in pieces of 2048 tokens, or calls that a plain service runs at once"},
 		Option{"slots", "2", "prefills that a prefill server is granted at a time; 2 keeps it busy, more lets urgent work wait"},
 		Option{"hosts", "", "file with the platform's list of hosts, for the agent to learn that its host leaves"},
-		Option{"drain", "5m", "longest wait for work in flight at a shutdown"},
+		Option{"drain", "5m", "longest wait for work in flight at a shutdown; it is ended up to 1 s before its end"},
 	)
 }
 
--- a/internal/configurer/entry.go
+++ b/internal/configurer/entry.go
@@ -46,7 +46,7 @@
 		Option{"listen", "127.0.0.1:8080", "ip:port for callers"},
 		Option{"body", "4194304", "most bytes of a request body"},
 		Option{"linger", "5s", "time after a shutdown signal in which new requests are still accepted, for the balancer to notice"},
-		Option{"drain", "5m", "longest wait for requests in flight at a shutdown"},
+		Option{"drain", "5m", "longest wait for requests in flight at a shutdown; they are answered up to 1 s before its end"},
 	)
 }
 
