Responses with a status below 100, or with an unasked 101, are broken

Callers saw: a response with status 000 was passed on. At entries its head was skipped like that of an interim response, so that whatever followed on the connection was the answer. Engines that sent such a status were taken to have refused the work, and servers to have rejected an order, although either may have been done.

A 101, which no request asks for, went the same ways.

A rejected response ends like any other head that cannot be parsed: the request may have run.

--- a/internal/driver/call.go
+++ b/internal/driver/call.go
@@ -12,6 +12,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/damasklever/damasklever/internal/inspector"
 )
 
 // HeaderField is one HTTP header field.
@@ -93,9 +95,9 @@
 // connection marks the end of the body.
 func (c *Client) roundTrip(ctx context.Context, req *http.Request) (response Response, framed bool, err error) {
 	writeGuard := &writeGuard{}
-	transport := &http.Transport{
+	transport := inspector.NewTransport(&http.Transport{
 		DialContext: writeGuard.dial, DisableKeepAlives: true, DisableCompression: true,
-	}
+	})
 	defer transport.CloseIdleConnections()
 	// RoundTrip does not follow redirects; they are returned to the caller.
 	res, err := transport.RoundTrip(req)
--- a/internal/driver/driver.go
+++ b/internal/driver/driver.go
@@ -12,6 +12,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/damasklever/damasklever/internal/inspector"
 )
 
 // Causes of errors returned by Client. Test for them with errors.Is.
@@ -67,10 +69,10 @@
 	dialer := &net.Dialer{Timeout: dialTimeout}
 
 	return &Client{addr: addr, stallTimeout: stallTimeout, clock: wallClock{}, http: &http.Client{
-		Transport: &http.Transport{
+		Transport: inspector.NewTransport(&http.Transport{
 			DialContext: dialer.DialContext, MaxIdleConnsPerHost: maxIdleConns,
 			DisableCompression: true,
-		},
+		}),
 	}}
 }
 
--- a/internal/requester/exchange.go
+++ b/internal/requester/exchange.go
@@ -12,6 +12,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/damasklever/damasklever/internal/inspector"
 )
 
 // Request is a request to a backend server.
@@ -83,9 +85,12 @@
 		if err != nil {
 			return nil, errors.Newf("read response: %w", e.readError(err))
 		}
-		if head.StatusCode < http.StatusOK {
+		if inspector.IsInterim(head.StatusCode) {
 			continue
 		}
+		if err := inspector.CheckStatus(head.StatusCode); err != nil {
+			return nil, errors.Newf("read response: %w", err)
+		}
 		// A response to HEAD has no body, whatever its header says.
 		framed := head.ContentLength >= 0 || len(head.TransferEncoding) > 0 || r.Method == http.MethodHead
 		if e.rq.s.Matches(r.Header, head.Header, e.serverConn.reused) {
