Responses with an invalid field name are broken

Callers saw: a response with a blank in the name of a header field was passed on, with that line. "Content-Length : 5" and "Transfer-Encoding : chunked" were not recognized as framing, so the body was what followed on the connection, chunk sizes included. A line that begins with a blank or a tab was appended to the value before it, with the same effect on framing.

Cause: net/textproto accepts blanks in names and joins continued lines. It rejects names with control bytes, except a tab at the beginning of a line.

Change: inspector.Conn scans the heads on a connection as they are read and rejects a line that does not begin with a token and a colon. RFC 9112, 5.1 and 5.2, allows a gateway to reject both forms.

Evidence, cases of TestInvalidResponse that failed with this change taken out: requester 20 of 46, driver 120 of 276, adapter 77 of 184, gateway 80 of 184. None fails now, nor in the 46 that requester has after a skipped response. Names with a control byte were rejected before; the cases stay. TestSoundResponse, with all bytes that a name may have, passes before and after. FuzzHead: 1.1 million inputs in 20 s, none judged otherwise byte by byte.

--- a/internal/requester/exchange.go
+++ b/internal/requester/exchange.go
@@ -79,9 +79,7 @@
 // those of other requests.
 func (e *exchange) receive(r *Request) (*Response, error) {
 	for range maxResponseHeads {
-		e.serverConn.source.beginHead()
-		head, err := http.ReadResponse(e.serverConn.reader, &http.Request{Method: r.Method}) //nolint:bodyclose // the caller of Do closes it
-		e.serverConn.source.endHead()
+		head, err := e.serverConn.readHead(r.Method) //nolint:bodyclose // the caller of Do closes it
 		if err != nil {
 			return nil, errors.Newf("read response: %w", e.readError(err))
 		}
--- a/internal/requester/requester.go
+++ b/internal/requester/requester.go
@@ -14,6 +14,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/damasklever/damasklever/internal/inspector"
 )
 
 // ErrNotSent marks a failure before the first byte of the request was sent, so the server
@@ -93,7 +95,7 @@
 
 // serverConn is a connection to a backend server.
 type serverConn struct {
-	net.Conn
+	*inspector.Conn
 	reader      *bufio.Reader
 	source      *connReader
 	lastUsed    time.Time
@@ -237,9 +239,10 @@
 	rq.opened++
 	rq.mu.Unlock()
 
-	source := &connReader{in: conn}
+	inspected := inspector.NewConn(conn)
+	source := &connReader{in: inspected}
 
-	return &serverConn{Conn: conn, reader: bufio.NewReaderSize(source, bufferSize), source: source}, nil
+	return &serverConn{Conn: inspected, reader: bufio.NewReaderSize(source, bufferSize), source: source}, nil
 }
 
 // connReader reads from a connection. It limits the bytes read for the head of a response,
@@ -272,6 +275,21 @@
 	return n, err //nolint:wrapcheck // io.Reader passes io.EOF on
 }
 
+// readHead reads the head of a response to a request with a method.
+func (c *serverConn) readHead(method string) (*http.Response, error) {
+	buffered, err := c.reader.Peek(c.reader.Buffered())
+	if err == nil {
+		err = c.BeginResponse(buffered)
+	}
+	if err != nil {
+		return nil, errors.Newf("read head: %w", err)
+	}
+	c.source.beginHead()
+	defer c.source.endHead()
+
+	return http.ReadResponse(c.reader, &http.Request{Method: method}) //nolint:wrapcheck // wrapped by the caller
+}
+
 // release makes a connection available for the next request.
 func (rq *Requester) release(addr string, conn *serverConn) {
 	conn.lastUsed = time.Now()
