A reset during an upload does not end an unframed response

Callers saw: a server answered a long upload at once with a 200 that had no length, sent a part of its body and reset the connection while the upload was still being written. Callers got that part as a complete answer.

Cause: a socket reports a reset once. If the writer of the request gets it (ECONNRESET), the reader of the response gets the end of the file, which is the end of a body without framing. The status request that follows finds the server running.

--- a/internal/gateway/invalid_test.go
+++ b/internal/gateway/invalid_test.go
@@ -5,15 +5,30 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"testing"
+	"time"
 
+	"github.com/damasklever/damasklever/internal/matcher"
 	"github.com/damasklever/damasklever/internal/placer"
 	"github.com/damasklever/damasklever/internal/testlistener"
+	"github.com/damasklever/damasklever/internal/wire"
 )
 
 // rawServer answers each request with text and closes the connection, and status requests well.
 func rawServer(t *testing.T, text string, stage placer.Stage) placer.Server {
 	t.Helper()
+
+	return rawServerWith(t, stage, func(conn net.Conn, r *http.Request) {
+		io.Copy(io.Discard, r.Body)
+		io.WriteString(conn, text)
+	})
+}
+
+// rawServerWith has answer respond to each request before the connection is closed, and answers
+// status requests well.
+func rawServerWith(t *testing.T, stage placer.Stage, answer func(conn net.Conn, r *http.Request)) placer.Server {
+	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
@@ -31,11 +46,10 @@
 				if err != nil {
 					return
 				}
-				io.Copy(io.Discard, r.Body)
 				if isStatusRequest(r) {
 					io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\n1")
 				} else {
-					io.WriteString(conn, text)
+					answer(conn, r)
 				}
 			}()
 		}
@@ -78,3 +92,42 @@
 		}
 	}
 }
+
+// Guards against a part of an answer that is passed on as whole because the server has reset the
+// connection while the request was being written, and against a whole early answer that is not.
+func TestEarlyAnswerAndEndOfConnection(t *testing.T) {
+	const (
+		// uploadSize is more than the buffers of a connection hold.
+		uploadSize = 16 << 20
+		// rounds is how often an answer is sent early. Whether the reader of the answer or the
+		// writer of the request notices a reset first differs.
+		rounds = 10
+		body   = "id: 1\n\n"
+	)
+	upload := strings.Repeat("x", uploadSize)
+	for path, stage := range invalidPaths {
+		for name, ending := range testlistener.Endings() {
+			t.Run(path+"/"+name, func(t *testing.T) {
+				s := rawServerWith(t, stage, func(conn net.Conn, _ *http.Request) {
+					io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n"+body)
+					ending.End(conn, 5*time.Millisecond)
+				})
+				plan := standardPlan()
+				plan.Bounds = &wire.Bounds{Body: uploadSize}
+				failed := 0
+				for range rounds {
+					r := newTestGateway(t, nil, s)
+					r.setPlan(matcher.New(plan))
+					got := r.call(t, http.MethodPost, path, upload, nil)
+					whole := got.status == http.StatusOK && !got.broken
+					if whole != ending.Whole || whole && got.body != body {
+						failed++
+					}
+				}
+				if failed > 0 {
+					t.Errorf("taken for whole, or for broken: got %d of %d answers, want none", failed, rounds)
+				}
+			})
+		}
+	}
+}
--- a/internal/inspector/inspector_test.go
+++ b/internal/inspector/inspector_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"testing"
 	"testing/iotest"
+	"time"
 
 	"github.com/cockroachdb/errors"
 
@@ -24,6 +25,9 @@
 // Read implements net.Conn.
 func (c *textConn) Read(p []byte) (int, error) { return c.in.Read(p) }
 
+// SetWriteDeadline implements net.Conn.
+func (c *textConn) SetWriteDeadline(time.Time) error { return nil }
+
 // read reads a response from text, and returns an error if it is not valid.
 func read(text io.Reader) error {
 	conn := inspector.NewConn(&textConn{in: text})
