Heads of responses are bounded for agents and control hosts too

Cause: the clients of net/http in driver and adapter kept its limit of 10 MiB for heads.

Change: inspector.Transport sets the limit that requester has had, 64 KiB, interim responses included.

--- a/cmd/damasklever/crowd/system_test.go
+++ b/cmd/damasklever/crowd/system_test.go
@@ -18,6 +18,8 @@
 	"strings"
 	"testing"
 	"time"
+
+	"github.com/damasklever/damasklever/internal/testlistener"
 )
 
 const (
@@ -34,7 +36,7 @@
 )
 
 const configuration = `set rank drill level=0 first=20s gap=300ms
-set service echo kind=plain timeout=20s body=4MiB routes="POST /echo idempotent, GET /large idempotent, GET /ordinary idempotent"
+set service echo kind=plain timeout=20s body=4MiB routes="POST /echo idempotent, GET /large idempotent, GET /ordinary idempotent, GET /endless idempotent"
 set rule all order=1 caller=* service=echo rank=drill
 `
 
@@ -80,6 +82,13 @@
 // the maximum size has been served, so that only the crowd can be the cause of a failure.
 func startSystem(t *testing.T) *system {
 	t.Helper()
+
+	return startSystemWith(t, testlistener.EndlessResponse{Begin: "HTTP/1.1 200 OK\r\n\r\n", Piece: "x"})
+}
+
+// startSystemWith is startSystem with a response that the plain service sends at /endless.
+func startSystemWith(t *testing.T, endless testlistener.EndlessResponse) *system {
+	t.Helper()
 	s := &system{
 		t: t, addrs: chooseAddrs(t, "control", "control-ops", "agent", "agent-ops", "entry", "entry-ops"),
 		processes: map[string]*exec.Cmd{}, exited: map[string]chan struct{}{},
@@ -92,7 +101,7 @@
 		t.Fatal(err)
 	}
 	s.ctl("apply", file)
-	s.start("agent", "--service", "echo", "--phase", "plain", "--pieces", "4", "--backend", startBackend(t), "--control", s.addrs["control"])
+	s.start("agent", "--service", "echo", "--phase", "plain", "--pieces", "4", "--backend", startBackend(t, endless), "--control", s.addrs["control"])
 	s.start("entry", "--control", s.addrs["control"])
 	s.await("entry-ops", "/dump", `"servers": 1`)
 	s.await("entry-ops", "/readyz", "")
@@ -104,8 +113,8 @@
 }
 
 // startBackend starts a plain service, which returns the body of a request or, at /large,
-// largeAnswer bytes.
-func startBackend(t *testing.T) string {
+// largeAnswer bytes and, at /endless, an endless response.
+func startBackend(t *testing.T, endless testlistener.EndlessResponse) string {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -118,6 +127,14 @@
 
 			return
 		}
+		if r.URL.Path == "/endless" {
+			if conn, _, err := http.NewResponseController(w).Hijack(); err == nil {
+				endless.Write(conn)
+				_ = conn.Close()
+			}
+
+			return
+		}
 		_, _ = io.Copy(w, r.Body)
 	})}
 	go func() { _ = server.Serve(l) }()
--- a/internal/inspector/inspector.go
+++ b/internal/inspector/inspector.go
@@ -11,6 +11,9 @@
 // ErrInvalidResponse is returned for what a server sends in place of a response.
 var ErrInvalidResponse = errors.New("the response is not valid HTTP")
 
+// MaxHeadBytes is the maximum size of the status line and the fields of a response.
+const MaxHeadBytes = 64 << 10
+
 // CheckStatus returns an error for a status that no final response can have. A status over 599 is
 // a failure of an unknown kind.
 func CheckStatus(status int) error {
--- a/internal/inspector/transport.go
+++ b/internal/inspector/transport.go
@@ -13,6 +13,7 @@
 type Transport struct{ http *http.Transport }
 
 // NewTransport returns a Transport that sends requests with t, which must not be used otherwise.
+// Heads may have MaxHeadBytes, interim ones included.
 func NewTransport(t *http.Transport) *Transport {
 	dial := t.DialContext
 	if dial == nil {
@@ -27,6 +28,8 @@
 		return NewConn(conn), nil
 	}
 
+	t.MaxResponseHeaderBytes = MaxHeadBytes
+
 	return &Transport{http: t}
 }
 
--- a/internal/requester/requester.go
+++ b/internal/requester/requester.go
@@ -41,8 +41,6 @@
 	maxResponseHeads = 4
 	// maxSkippedBytes is the maximum body size of a skipped response.
 	maxSkippedBytes = 1 << 20
-	// maxHeadBytes is the maximum size of the status line and headers of a response.
-	maxHeadBytes = 64 << 10
 )
 
 // Settings configures a Requester.
@@ -90,7 +88,7 @@
 	opened uint64
 }
 
-// errHeadTooLarge is returned if the head of a response exceeds maxHeadBytes.
+// errHeadTooLarge is returned if the head of a response exceeds inspector.MaxHeadBytes.
 var errHeadTooLarge = errors.New("the head of the response exceeds the size limit")
 
 // serverConn is a connection to a backend server.
@@ -256,7 +254,7 @@
 }
 
 // beginHead limits the reads that follow, until endHead is called.
-func (r *connReader) beginHead() { r.limiting, r.remaining = true, maxHeadBytes }
+func (r *connReader) beginHead() { r.limiting, r.remaining = true, inspector.MaxHeadBytes }
 
 func (r *connReader) endHead() { r.limiting = false }
 
--- /dev/null
+++ b/internal/testlistener/endless.go
@@ -0,0 +1,89 @@
+package testlistener
+
+import (
+	"bufio"
+	"bytes"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+)
+
+// EndlessResponse is a response that goes on until its caller closes the connection: a start, and
+// repetitions of a piece.
+type EndlessResponse struct{ Begin, Piece string }
+
+// EndlessHeads returns responses whose head does not end, by name.
+func EndlessHeads() map[string]EndlessResponse {
+	return map[string]EndlessResponse{
+		"no response":       {"", "\xff"},
+		"status line":       {"HTTP/1.1 200 ", "O"},
+		"field name":        {"HTTP/1.1 200 OK\r\n", "A"},
+		"field value":       {"HTTP/1.1 200 OK\r\nA: ", "b"},
+		"short fields":      {"HTTP/1.1 200 OK\r\n", "a:\n"},
+		"fields":            {"HTTP/1.1 200 OK\r\n", "A: b\r\n"},
+		"interim responses": {"", "HTTP/1.1 103 Early Hints\r\nA: b\r\n\r\n"},
+	}
+}
+
+// EndlessBodies returns responses whose body does not end, by name.
+func EndlessBodies() map[string]EndlessResponse {
+	const (
+		unframed = "HTTP/1.1 200 OK\r\n\r\n"
+		chunks   = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+	)
+
+	return map[string]EndlessResponse{
+		"zeros":           {unframed, "\x00"},
+		"blanks":          {unframed, " "},
+		"lines":           {unframed, "\n"},
+		"digits":          {unframed, "1"},
+		"brackets":        {unframed, "["},
+		"text":            {unframed + "{\"a\":\"", "b"},
+		"failure":         {"HTTP/1.1 500 Failed\r\n\r\n", "b"},
+		"rejection":       {"HTTP/1.1 404 Not Found\r\n\r\n", "b"},
+		"chunks":          {chunks, "3\r\nbad\r\n"},
+		"chunk size":      {chunks, "0"},
+		"chunk extension": {chunks + "3;a=", "b"},
+		"trailer":         {chunks + "0\r\nA: ", "b"},
+		"trailers":        {chunks + "0\r\n", "A: b\r\n"},
+	}
+}
+
+// Write sends the response until the connection is closed.
+func (e EndlessResponse) Write(conn net.Conn) {
+	block := bytes.Repeat([]byte(e.Piece), blockBytes/len(e.Piece)+1)
+	_, err := io.WriteString(conn, e.Begin)
+	for err == nil {
+		_, err = conn.Write(block)
+	}
+}
+
+const blockBytes = 16 << 10
+
+// ServeEndless answers each request with an endless response. It returns the address.
+func ServeEndless(t testing.TB, e EndlessResponse) string {
+	t.Helper()
+	l, err := (&net.ListenConfig{}).Listen(t.Context(), "tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = l.Close() })
+	go func() {
+		for {
+			conn, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer func() { _ = conn.Close() }()
+				if r, err := http.ReadRequest(bufio.NewReader(conn)); err == nil {
+					_, _ = io.Copy(io.Discard, r.Body)
+					e.Write(conn)
+				}
+			}()
+		}
+	}()
+
+	return l.Addr().String()
+}
