Replies of engines are bounded by what a reply holds

Reported: a server sends a body without end, and the process that has called it runs out of memory.

Cause: driver had one limit for all bodies, 64 MiB, which is that of large responses of plain services. Each call to an engine that sends such a reply read as much, several at a time.

Change: a reply may have 64 KiB, also the text of an error, and the list of the engine's work 1 MiB. A larger one is ErrInvalid, as it was, but no longer because its JSON is cut off. Lines of streams keep their limit of 1 MiB.

Evidence: driver.TestResponseWithoutEnd, memory allocated by 16 calls at a time: 24 of 70 cases were over 256 MB (prefill, order, list of work), 2,037 to 2,529 MB; now none. Streams passed before: decode and import end at an invalid line.

--- a/internal/driver/driver.go
+++ b/internal/driver/driver.go
@@ -46,14 +46,21 @@
 	dialTimeout = time.Second
 	// shortCallTimeout bounds calls that an engine answers immediately.
 	shortCallTimeout = 2 * time.Second
-	// maxLineBytes limits one line of a stream, and maxResponseBytes a whole response.
-	maxLineBytes     = 1 << 20
+	// maxLineBytes limits one line of a stream.
+	maxLineBytes = 1 << 20
+	// maxReplyBytes limits the reply of an engine to a call, maxListBytes the list of its work, and
+	// maxResponseBytes the response of a plain service.
+	maxReplyBytes    = 64 << 10
+	maxListBytes     = 1 << 20
 	maxResponseBytes = 64 << 20
 	// maxIdleConns is the number of idle connections kept open. It is large enough
 	// for the concurrent streams of one engine.
 	maxIdleConns = 64
 )
 
+// errResponseTooLarge is returned for a response that exceeds the maximum size.
+var errResponseTooLarge = errors.Mark(errors.New("the response exceeds the size limit"), ErrInvalid)
+
 // Client calls one backend server. Create it with New.
 type Client struct {
 	addr         string
@@ -114,7 +121,7 @@
 		return res, nil
 	}
 	defer func() { _ = res.Body.Close() }()
-	data, err := io.ReadAll(io.LimitReader(res.Body, maxLineBytes))
+	data, err := io.ReadAll(io.LimitReader(res.Body, maxReplyBytes))
 	if err != nil {
 		return nil, connectionError(req.Context(), err)
 	}
@@ -143,16 +150,20 @@
 		return err
 	}
 
-	return readBody(ctx, res, out)
+	return readBody(ctx, res, maxReplyBytes, out)
 }
 
-// readBody decodes the JSON body of res into out and closes it.
-func readBody(ctx context.Context, res *http.Response, out any) error {
+// readBody decodes the JSON body of res, which has at most a number of bytes, into out and closes
+// it.
+func readBody(ctx context.Context, res *http.Response, limit int64, out any) error {
 	defer func() { _ = res.Body.Close() }()
-	data, err := io.ReadAll(io.LimitReader(res.Body, maxResponseBytes))
+	data, err := io.ReadAll(io.LimitReader(res.Body, limit+1))
 	if err != nil {
 		return connectionError(ctx, err)
 	}
+	if int64(len(data)) > limit {
+		return errResponseTooLarge
+	}
 	if err := json.Unmarshal(data, out); err != nil {
 		return errors.Newf("%w: %s", ErrInvalid, err.Error())
 	}
--- a/internal/driver/endless_test.go
+++ b/internal/driver/endless_test.go
@@ -14,20 +14,21 @@
 // Guards against a backend server whose response does not end and fills the memory of its agent.
 func TestResponseWithoutEnd(t *testing.T) {
 	const (
-		callsAtOnce = 16
+		callsAtOnce = 16 // of an engine
 		// maxAllocated is the memory of a small host.
 		maxAllocated = 256 << 20
 		timeout      = 10 * time.Second
 	)
 	for name, call := range testCalls() {
-		check := func(t *testing.T, e testlistener.EndlessResponse) {
+		check := func(t *testing.T, calls int, e testlistener.EndlessResponse) {
 			client := driver.New(testlistener.ServeEndless(t, e), time.Second)
+			client.LimitMemory(maxAllocated / 4)
 			ctx, cancel := context.WithTimeout(t.Context(), timeout)
 			defer cancel()
 			var before, after runtime.MemStats
 			runtime.ReadMemStats(&before)
 			var work sync.WaitGroup
-			for range callsAtOnce {
+			for range calls {
 				work.Go(func() {
 					if err := call.run(ctx, client); err == nil {
 						t.Error("got no error, want one")
@@ -40,11 +41,16 @@
 				t.Errorf("calls: got no end in %s, want one", timeout)
 			}
 			if got := after.TotalAlloc - before.TotalAlloc; got > maxAllocated {
-				t.Errorf("allocated by %d calls: got %d MB, want at most %d MB", callsAtOnce, got>>20, maxAllocated>>20)
+				t.Errorf("allocated by %d calls: got %d MB, want at most %d MB", calls, got>>20, maxAllocated>>20)
 			}
 		}
 		for response, e := range testlistener.EndlessHeads() {
-			t.Run(name+"/head/"+response, func(t *testing.T) { check(t, e) })
+			t.Run(name+"/head/"+response, func(t *testing.T) { check(t, callsAtOnce, e) })
+		}
+		for response, e := range testlistener.EndlessBodies() {
+			if name != "run" {
+				t.Run(name+"/body/"+response, func(t *testing.T) { check(t, callsAtOnce, e) })
+			}
 		}
 	}
 }
--- a/internal/driver/engine.go
+++ b/internal/driver/engine.go
@@ -188,7 +188,7 @@
 		return nil, errors.Newf("list work: %w", err)
 	}
 	var list []Work
-	if err := readBody(ctx, res, &list); err != nil {
+	if err := readBody(ctx, res, maxListBytes, &list); err != nil {
 		return nil, errors.Newf("list work: %w", err)
 	}
 
@@ -204,7 +204,7 @@
 		return Load{}, errors.Newf("read load: %w", err)
 	}
 	var load Load
-	if err := readBody(ctx, res, &load); err != nil {
+	if err := readBody(ctx, res, maxReplyBytes, &load); err != nil {
 		return Load{}, errors.Newf("read load: %w", err)
 	}
 
--- a/internal/driver/fuzz_test.go
+++ b/internal/driver/fuzz_test.go
@@ -77,7 +77,7 @@
 	f.Fuzz(func(t *testing.T, data []byte) {
 		for _, out := range []any{&PrefillResult{}, &[]Work{}, &Load{}, &Order{}} {
 			res := &http.Response{Body: io.NopCloser(bytes.NewReader(data))}
-			if err := readBody(t.Context(), res, out); err == nil && len(data) == 0 {
+			if err := readBody(t.Context(), res, maxReplyBytes, out); err == nil && len(data) == 0 {
 				t.Errorf("got no error for an empty body in %T", out)
 			}
 		}
--- a/internal/testlistener/endless.go
+++ b/internal/testlistener/endless.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"testing"
 )
 
@@ -42,7 +43,8 @@
 		"text":            {unframed + "{\"a\":\"", "b"},
 		"failure":         {"HTTP/1.1 500 Failed\r\n\r\n", "b"},
 		"rejection":       {"HTTP/1.1 404 Not Found\r\n\r\n", "b"},
-		"chunks":          {chunks, "3\r\nbad\r\n"},
+		"chunks":          {chunks, "400\r\n" + strings.Repeat("b", 1<<10) + "\r\n"},
+		"small chunks":    {chunks, "3\r\nbad\r\n"},
 		"chunk size":      {chunks, "0"},
 		"chunk extension": {chunks + "3;a=", "b"},
 		"trailer":         {chunks + "0\r\nA: ", "b"},
