--- a/internal/testlistener/endless.go
+++ b/internal/testlistener/endless.go
@@ -3,11 +3,15 @@
 import (
 	"bufio"
 	"bytes"
+	"context"
 	"io"
 	"net"
 	"net/http"
+	"runtime"
 	"strings"
+	"sync"
 	"testing"
+	"time"
 )
 
 // EndlessResponse is a response that goes on until its caller closes the connection: a start, and
@@ -61,7 +65,33 @@
 	}
 }
 
-const blockBytes = 16 << 10
+const (
+	blockBytes = 16 << 10
+	// callTimeout is the time in which a caller must have given up an endless response.
+	callTimeout = 10 * time.Second
+)
+
+// CheckCalls makes calls to a server with an endless response, all at a time. All of them must end,
+// and must not allocate more than a number of bytes.
+func CheckCalls(t testing.TB, calls int, maxBytes uint64, call func(ctx context.Context)) {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(t.Context(), callTimeout)
+	defer cancel()
+	var before, after runtime.MemStats
+	runtime.ReadMemStats(&before)
+	var work sync.WaitGroup
+	for range calls {
+		work.Go(func() { call(ctx) })
+	}
+	work.Wait()
+	runtime.ReadMemStats(&after)
+	if ctx.Err() != nil {
+		t.Errorf("calls: got no end in %s, want one", callTimeout)
+	}
+	if got := after.TotalAlloc - before.TotalAlloc; got > maxBytes {
+		t.Errorf("allocated by %d calls: got %d MB, want at most %d MB", calls, got>>20, maxBytes>>20)
+	}
+}
 
 // ServeEndless answers each request with an endless response. It returns the address.
 func ServeEndless(t testing.TB, e EndlessResponse) string {
