--- a/internal/gateway/invalid_test.go
+++ b/internal/gateway/invalid_test.go
@@ -1,7 +1,6 @@
 package gateway_test
 
 import (
-	"bufio"
 	"io"
 	"net"
 	"net/http"
@@ -29,33 +28,15 @@
 // status requests well.
 func rawServerWith(t *testing.T, stage placer.Stage, answer func(conn net.Conn, r *http.Request)) placer.Server {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { l.Close() })
-	go func() {
-		for {
-			conn, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer conn.Close()
-				r, err := http.ReadRequest(bufio.NewReader(conn))
-				if err != nil {
-					return
-				}
-				if isStatusRequest(r) {
-					io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\n1")
-				} else {
-					answer(conn, r)
-				}
-			}()
+	addr := testlistener.Serve(t, func(conn net.Conn, r *http.Request) {
+		if isStatusRequest(r) {
+			io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\n1")
+		} else {
+			answer(conn, r)
 		}
-	}()
+	})
 
-	return placer.Server{ID: "a", Addr: l.Addr().String(), Pool: "pool", Centre: "c", Region: "r", Stage: stage}
+	return placer.Server{ID: "a", Addr: addr, Pool: "pool", Centre: "c", Region: "r", Stage: stage}
 }
 
 var invalidPaths = map[string]placer.Stage{
--- a/internal/testlistener/early.go
+++ b/internal/testlistener/early.go
@@ -1,7 +1,6 @@
 package testlistener
 
 import (
-	"bufio"
 	"io"
 	"net"
 	"net/http"
@@ -44,25 +43,13 @@
 	_ = conn.Close()
 }
 
-// ServeEarly accepts a connection, reads the head of a request, sends text and ends the connection
-// after some time. It returns the address.
+// ServeEarly answers each request with text once its head has arrived, and ends the connection after
+// some time. It returns the address.
 func ServeEarly(t testing.TB, text string, e Ending, after time.Duration) string {
 	t.Helper()
-	l, err := (&net.ListenConfig{}).Listen(t.Context(), "tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = l.Close() })
-	go func() {
-		conn, err := l.Accept()
-		if err != nil {
-			return
-		}
-		if _, err := http.ReadRequest(bufio.NewReader(conn)); err == nil {
-			_, _ = io.WriteString(conn, text)
-		}
-		e.End(conn, after)
-	}()
 
-	return l.Addr().String()
+	return Serve(t, func(conn net.Conn, _ *http.Request) {
+		_, _ = io.WriteString(conn, text)
+		e.End(conn, after)
+	})
 }
--- a/internal/testlistener/endless.go
+++ b/internal/testlistener/endless.go
@@ -1,7 +1,6 @@
 package testlistener
 
 import (
-	"bufio"
 	"bytes"
 	"context"
 	"io"
@@ -96,26 +95,9 @@
 // ServeEndless answers each request with an endless response. It returns the address.
 func ServeEndless(t testing.TB, e EndlessResponse) string {
 	t.Helper()
-	l, err := (&net.ListenConfig{}).Listen(t.Context(), "tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = l.Close() })
-	go func() {
-		for {
-			conn, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer func() { _ = conn.Close() }()
-				if r, err := http.ReadRequest(bufio.NewReader(conn)); err == nil {
-					_, _ = io.Copy(io.Discard, r.Body)
-					e.Write(conn)
-				}
-			}()
-		}
-	}()
 
-	return l.Addr().String()
+	return Serve(t, func(conn net.Conn, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		e.Write(conn)
+	})
 }
--- a/internal/testlistener/testlistener.go
+++ b/internal/testlistener/testlistener.go
@@ -80,3 +80,30 @@
 
 	return l.Addr().String()
 }
+
+// Serve calls handle with each connection and the first request on it, whose body has not been
+// read, and closes the connection then. It returns the address.
+func Serve(t testing.TB, handle func(conn net.Conn, r *http.Request)) string {
+	t.Helper()
+	l, err := (&net.ListenConfig{}).Listen(t.Context(), "tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = l.Close() })
+	go func() {
+		for {
+			conn, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer func() { _ = conn.Close() }()
+				if r, err := http.ReadRequest(bufio.NewReader(conn)); err == nil {
+					handle(conn, r)
+				}
+			}()
+		}
+	}()
+
+	return l.Addr().String()
+}
