--- a/internal/driver/early_test.go
+++ b/internal/driver/early_test.go
@@ -40,3 +40,23 @@
 		t.Errorf("taken for whole: got %d of %d responses, want none", whole, earlyRounds)
 	}
 }
+
+// Guards against a part of an engine's reply, or of its stream, that is taken for the whole, however
+// its connection ends.
+func TestPartOfUnframedReply(t *testing.T) {
+	for name, call := range testCalls() {
+		if name == "run" { // its body has no form of its own
+			continue
+		}
+		for end, ending := range testlistener.Endings() {
+			t.Run(name+"/"+end, func(t *testing.T) {
+				t.Parallel()
+				text := "HTTP/1.1 200 OK\r\n\r\n" + call.body[:len(call.body)-1]
+				err := call.run(t.Context(), driver.New(testlistener.ServeEarly(t, text, ending, time.Millisecond), time.Second))
+				if err == nil {
+					t.Error("got no error, want one")
+				}
+			})
+		}
+	}
+}
