Keep software versions of streams at control hosts beside the agents

Cause: the version of a stream is kept by its entry and by three agents. Any number of entries and agents may be lost at once; only of the control hosts does a majority remain. Evidence: the refusals come within 2 ms, so there was no agent to ask. With only the entry killed the streams go on. Change: entries give each origin to three control hosts too, or to half of the members if that is more, and ask agents and control hosts at the same time. The control hosts are the members that the group announces. Before, the configured ones kept origins, and only where there were no agents. Why it works: one control host with a copy is in any majority of the members. If all control hosts end at once, the agents have the origin. TestFallbackKeepsOrigins is now TestControlHostsKeepOrigins: the same checks, but the control hosts keep origins also after an agent has come.

--- a/internal/grantclient/origin.go
+++ b/internal/grantclient/origin.go
@@ -14,7 +14,7 @@
 // errNoSession is returned if there is no session with the agent of a server.
 var errNoSession = errors.New("there is no session with the agent")
 
-// Epoch implements versioner.Agents.
+// Epoch implements versioner.Keepers.
 func (c *Client) Epoch(server string) (uint64, bool) {
 	l := c.link(server)
 	if l == nil {
@@ -26,7 +26,7 @@
 	return l.epoch, l.out != nil
 }
 
-// Connecting implements versioner.Agents.
+// Connecting implements versioner.Keepers.
 func (c *Client) Connecting(server string) bool {
 	l := c.link(server)
 	if l == nil {
@@ -38,7 +38,7 @@
 	return l.out == nil && !l.everConnected && l.failures == 0
 }
 
-// Keep implements versioner.Agents.
+// Keep implements versioner.Keepers.
 func (c *Client) Keep(server, id string, o versioner.Origin, ttl time.Duration) bool {
 	l := c.link(server)
 	if l == nil {
@@ -52,7 +52,7 @@
 	}}}})
 }
 
-// Locate implements versioner.Agents.
+// Locate implements versioner.Keepers.
 func (c *Client) Locate(ctx context.Context, server, id string) (o versioner.Origin, known bool, err error) {
 	l := c.link(server)
 	if l == nil {
--- a/internal/subscriber/subscriber.go
+++ b/internal/subscriber/subscriber.go
@@ -163,6 +163,15 @@
 // control host that was up to date, 0 before the first one.
 func (s *Subscriber) Entries() int { return int(s.entryCount.Load()) }
 
+// ControlHosts returns the control hosts that a control host last announced, none before that,
+// and the configured ones.
+func (s *Subscriber) ControlHosts() (members, seeds []string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+
+	return slices.Clone(s.members), slices.Clone(s.seeds)
+}
+
 // SetSeeds replaces the configured addresses of control hosts, "ip:port". The
 // subscriber continues to use hosts announced by a control host as well.
 func (s *Subscriber) SetSeeds(seeds []string) {
--- a/internal/versioner/keepers.go
+++ b/internal/versioner/keepers.go
@@ -13,33 +13,44 @@
 	// that in a large fleet the sessions grow with the entries and not with their product
 	// with the servers.
 	maxKeepers = 32
-	// copies is the number of agents that keep each origin. Two may leave or fail within the
-	// time of a stream.
-	copies = 3
-	// maxLookups is the number of agents that are asked for an origin. It is larger than
-	// copies because the agents may have changed since the stream began.
+	// minCopies is the number of keepers of each kind that keep each origin. Two may leave or
+	// fail within the time of a stream.
+	minCopies = 3
+	// maxLookups is the number of keepers of each kind that are asked for an origin. It is
+	// larger than minCopies because the keepers may have changed since the stream began.
 	maxLookups = 8
 )
 
-// keeper is one start of an agent that keeps origins.
+// keeper is one start of a process that keeps origins.
 type keeper struct {
-	server string
-	epoch  uint64
+	name  string
+	epoch uint64
 }
 
-// keeperSet holds the backend servers whose agents keep origins. It is immutable, and the same
-// for all entries with the same list of servers.
+// keeperSet holds the names of the keepers of one kind. It is immutable, and the same for all
+// entries with the same lists of servers and control hosts.
 type keeperSet struct {
-	ready []string // servers whose agents get new origins
-	all   []string // those and some that are leaving, which are only asked
+	ready  []string // keepers that get new origins
+	all    []string // those and some that are leaving, which are only asked
+	copies int      // number of keepers that get each origin
 }
 
-// fallbackKeepers returns a set of keepers that are not agents.
-func fallbackKeepers(ids []string) *keeperSet { return &keeperSet{ready: ids, all: ids} }
+// newControlSet returns the set of control hosts. Of the hosts that have a copy, one is in any
+// majority of the members, so that an origin outlives all agents and entries.
+func newControlSet(members, others []string) *keeperSet {
+	k := &keeperSet{ready: slices.Clone(members), all: slices.Clone(members), copies: max(minCopies, (len(members)+1)/2)}
+	for _, name := range others {
+		if !slices.Contains(k.all, name) {
+			k.all = append(k.all, name)
+		}
+	}
+
+	return k
+}
 
-// newKeeperSet selects the keepers among the model servers of a list. The selection changes
-// little when servers are added or removed.
-func newKeeperSet(list []placer.Server) *keeperSet {
+// newAgentSet selects the agents that keep origins, among those beside the model servers of a
+// list. The selection changes little when servers are added or removed.
+func newAgentSet(list []placer.Server) *keeperSet {
 	var ready, all []string
 	for _, s := range list {
 		if s.Stage == placer.Plain {
@@ -50,7 +61,7 @@
 			ready = append(ready, s.ID)
 		}
 	}
-	k := &keeperSet{ready: rank("", ready, maxKeepers)}
+	k := &keeperSet{ready: rank("", ready, maxKeepers), copies: minCopies}
 	k.all = slices.Clone(k.ready)
 	for _, id := range rank("", all, maxKeepers) {
 		if !slices.Contains(k.all, id) {
--- a/internal/versioner/lookup.go
+++ b/internal/versioner/lookup.go
@@ -5,24 +5,24 @@
 	"time"
 )
 
-// lookup asks agents for the origin of one stream.
+// lookup asks keepers for the origin of one stream.
 type lookup struct {
 	v       *Versioner
 	id      string
 	asked   map[string]bool
 	replies chan reply
-	failed  bool // an agent that may have the origin cannot be asked
+	failed  bool // a keeper that may have the origin cannot be asked
 }
 
-// reply is the answer of one agent.
+// reply is the answer of one keeper.
 type reply struct {
 	origin Origin
 	known  bool
 	err    error
 }
 
-// run asks the agents until one has the origin, or all have answered. It waits for the first
-// session with an agent, but not for an agent that has gone.
+// run asks the keepers until one has the origin, or all have answered. It waits for the first
+// session with a keeper, but not for a keeper that has gone.
 func (l *lookup) run(ctx context.Context) (Origin, Answer) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
@@ -53,36 +53,47 @@
 	}
 }
 
-// ask asks the agents that were not asked yet. It returns their number, and whether there may
+// ask asks the keepers that were not asked yet. It returns their number, and whether there may
 // be sessions with others soon.
 func (l *lookup) ask(ctx context.Context) (asked int, waiting bool) {
 	l.v.mu.Lock()
-	keepers := l.v.keepers
+	sets := []*keeperSet{l.v.agents, l.v.controls}
 	l.v.mu.Unlock()
+	for _, set := range sets {
+		n, soon := l.askWithin(ctx, set)
+		asked += n
+		waiting = waiting || soon
+	}
+
+	return asked, waiting
+}
+
+// askWithin asks keepers of one set.
+func (l *lookup) askWithin(ctx context.Context, set *keeperSet) (asked int, waiting bool) {
 	candidates := 0
-	for _, server := range rank(l.id, keepers.all, len(keepers.all)) {
+	for _, name := range rank(l.id, set.all, len(set.all)) {
 		if candidates == maxLookups {
 			break
 		}
-		if l.v.s.Agents.NeverConnected(server) {
+		if l.v.s.Keepers.NeverConnected(name) {
 			continue
 		}
 		candidates++
-		if l.asked[server] || len(l.asked) == maxLookups {
+		if l.asked[name] || len(l.asked) == cap(l.replies) {
 			continue
 		}
-		if _, ok := l.v.s.Agents.Epoch(server); !ok {
-			connecting := l.v.s.Agents.Connecting(server)
+		if _, ok := l.v.s.Keepers.Epoch(name); !ok {
+			connecting := l.v.s.Keepers.Connecting(name)
 			waiting = waiting || connecting
 			l.failed = l.failed || !connecting
 
 			continue
 		}
-		l.asked[server] = true
+		l.asked[name] = true
 		asked++
 		go func() {
 			var r reply
-			r.origin, r.known, r.err = l.v.s.Agents.Locate(ctx, server, l.id)
+			r.origin, r.known, r.err = l.v.s.Keepers.Locate(ctx, name, l.id)
 			l.replies <- r // never blocks: there is room for all that are asked
 		}()
 	}
@@ -90,7 +101,7 @@
 	return asked, waiting
 }
 
-// negative returns the answer when no agent has the origin.
+// negative returns the answer when no keeper has the origin.
 func (l *lookup) negative() Answer {
 	if l.failed {
 		return Unsure
--- a/internal/versioner/metrics.go
+++ b/internal/versioner/metrics.go
@@ -20,7 +20,7 @@
 			Name: "damasklever_versioner_streams", Help: "Streams whose software version this entry keeps.",
 		}, func() float64 { return float64(v.own.Size(v.s.Timer.Now())) }),
 		keepers: prometheus.NewGaugeFunc(prometheus.GaugeOpts{
-			Name: "damasklever_versioner_keepers", Help: "Agents with a session that keep software versions of streams.",
+			Name: "damasklever_versioner_keepers", Help: "Agents and control hosts with a session that keep software versions of streams.",
 		}, func() float64 {
 			v.mu.Lock()
 			defer v.mu.Unlock()
@@ -31,7 +31,7 @@
 			Name: "damasklever_versioner_evicted_total", Help: "Streams whose software version was forgotten because too many were kept.",
 		}, func() float64 { return float64(v.own.Evicted()) }),
 		copies: prometheus.NewCounter(prometheus.CounterOpts{
-			Name: "damasklever_versioner_copies_total", Help: "Software versions of streams given to agents.",
+			Name: "damasklever_versioner_copies_total", Help: "Software versions of streams given to agents and control hosts.",
 		}),
 		lookups: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "damasklever_versioner_lookups_total", Help: "Lookups of streams that callers took up, by result.",
--- a/internal/versioner/store.go
+++ b/internal/versioner/store.go
@@ -31,7 +31,7 @@
 	id      string
 	origin  Origin
 	expires time.Time
-	copies  []keeper // the agents that have it; of entries only
+	copies  []keeper // the keepers that have it; of entries only
 }
 
 // NewStore returns an empty store for at most limit streams. When it is full, it forgets the
--- a/internal/versioner/versioner.go
+++ b/internal/versioner/versioner.go
@@ -1,8 +1,8 @@
 // Package versioner keeps at which software version of its server each stream began, so that
 // it goes on at that version only. An entry keeps the streams that it has served and gives
-// each to a few agents, which outlive all entries. Nothing waits for an agent when a stream
-// begins; the agents are asked when a caller takes a stream up that another entry has
-// served.
+// each to a few agents, which outlive all entries, and to some control hosts, of which a
+// majority outlives all agents. Nothing waits for these keepers when a stream begins; they are
+// asked when a caller takes a stream up that another entry has served.
 package versioner
 
 import (
@@ -19,21 +19,22 @@
 	"github.com/damasklever/damasklever/internal/timer"
 )
 
-// Agents are the sessions with the agents beside backend servers.
-type Agents interface {
-	// Epoch returns a number that differs for each start of the agent of a server. It returns
-	// false if there is no session.
-	Epoch(server string) (uint64, bool)
-	// NeverConnected reports that no agent answers for a server.
-	NeverConnected(server string) bool
-	// Connecting reports that the first session with the agent of a server is being opened.
-	Connecting(server string) bool
-	// Keep gives an origin to the agent of a server, without waiting for it. It returns false
-	// if that is not possible.
-	Keep(server, id string, o Origin, ttl time.Duration) bool
-	// Locate asks the agent of a server for the origin of a stream; known is false if the
-	// agent does not have it.
-	Locate(ctx context.Context, server, id string) (o Origin, known bool, err error)
+// Keepers are the sessions with the processes that keep origins: the agents, under the names
+// of their servers, and the control hosts.
+type Keepers interface {
+	// Epoch returns a number that differs for each start of a keeper. It returns false if there
+	// is no session.
+	Epoch(name string) (uint64, bool)
+	// NeverConnected reports that no keeper answers under a name.
+	NeverConnected(name string) bool
+	// Connecting reports that the first session with a keeper is being opened.
+	Connecting(name string) bool
+	// Keep gives an origin to a keeper, without waiting for it. It returns false if that is not
+	// possible.
+	Keep(name, id string, o Origin, ttl time.Duration) bool
+	// Locate asks a keeper for the origin of a stream; known is false if the keeper does not
+	// have it.
+	Locate(ctx context.Context, name, id string) (o Origin, known bool, err error)
 }
 
 // Answer says what is known of a stream.
@@ -42,9 +43,9 @@
 const (
 	// Known means that the origin of the stream is known.
 	Known Answer = iota
-	// Unknown means that no agent has it, or that there are no agents.
+	// Unknown means that no keeper has it, or that there are no keepers.
 	Unknown
-	// Unsure means that an agent that may have it has not answered.
+	// Unsure means that a keeper that may have it has not answered.
 	Unsure
 )
 
@@ -54,21 +55,21 @@
 const (
 	// defaultLimit limits the streams that an entry keeps.
 	defaultLimit = 16_384
-	// locateTimeout limits the time to ask for a stream. It covers a connection to agents in
+	// locateTimeout limits the time to ask for a stream. It covers a connection to keepers in
 	// another region, since an entry that has just started has none yet.
 	locateTimeout = 500 * time.Millisecond
 	// sessionPollInterval is the interval at which a lookup checks for new sessions.
 	sessionPollInterval = 20 * time.Millisecond
-	// repairInterval is the interval at which origins are given to other agents in place of
+	// repairInterval is the interval at which origins are given to other keepers in place of
 	// those that are gone.
 	repairInterval = 500 * time.Millisecond
 )
 
-// Settings configures a Versioner. Agents and Timer are required.
+// Settings configures a Versioner. Keepers and Timer are required.
 type Settings struct {
-	Agents Agents
-	Timer  timer.Service
-	Log    *log.Logger
+	Keepers Keepers
+	Timer   timer.Service
+	Log     *log.Logger
 	// Limit is the number of streams that are kept.
 	Limit int
 }
@@ -85,8 +86,8 @@
 
 // Validate checks that the required fields are set.
 func (s *Settings) Validate() error {
-	if s.Agents == nil || s.Timer == nil || s.Limit < 1 {
-		return errors.New("versioner settings: Agents and Timer are required, and Limit must be positive")
+	if s.Keepers == nil || s.Timer == nil || s.Limit < 1 {
+		return errors.New("versioner settings: Keepers and Timer are required, and Limit must be positive")
 	}
 
 	return nil
@@ -103,25 +104,24 @@
 
 	mu       sync.Mutex
 	agents   *keeperSet
-	fallback []string // keepers in place of agents; empty if there are agents
-	keepers  *keeperSet
+	controls *keeperSet
 	sessions []keeper // with the keepers at the last repair
 }
 
-// New returns a Versioner that knows no agents.
+// New returns a Versioner that knows no keepers.
 func New(s Settings) (*Versioner, error) {
 	s.Defaults()
 	if err := s.Validate(); err != nil {
 		return nil, err
 	}
-	v := &Versioner{s: s, own: NewStore(s.Limit), done: make(chan struct{}), agents: &keeperSet{}, keepers: &keeperSet{}}
+	v := &Versioner{s: s, own: NewStore(s.Limit), done: make(chan struct{}), agents: &keeperSet{}, controls: &keeperSet{}}
 	v.metrics = newMetrics(v)
 	v.stopTimer = s.Timer.Every(repairInterval, v.repair)
 
 	return v, nil
 }
 
-// Close stops giving origins to agents.
+// Close stops giving origins to keepers.
 func (v *Versioner) Close() {
 	v.once.Do(func() {
 		v.stopTimer()
@@ -134,33 +134,24 @@
 
 // SetServers replaces the list of servers beside which the agents run.
 func (v *Versioner) SetServers(list []placer.Server) {
-	agents := newKeeperSet(list)
+	agents := newAgentSet(list)
 	v.mu.Lock()
 	v.agents = agents
-	v.selectKeepers()
 	v.mu.Unlock()
 	v.repair(v.s.Timer.Now())
 }
 
-// SetFallback makes other processes keep the origins, under names that Settings.Agents knows,
-// because there is no agent beside any server. Without names, it makes the agents keep them.
-func (v *Versioner) SetFallback(names []string) {
+// SetControlHosts replaces the names of the control hosts: the members of the control group,
+// which get origins, and other hosts, which may have been members and are only asked.
+func (v *Versioner) SetControlHosts(members, others []string) {
+	controls := newControlSet(members, others)
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	if slices.Equal(names, v.fallback) {
+	if slices.Equal(controls.ready, v.controls.ready) && slices.Equal(controls.all, v.controls.all) {
 		return
 	}
-	v.s.Log.Info().Strs("keepers", names).Msg("keepers of software versions changed")
-	v.fallback = slices.Clone(names)
-	v.selectKeepers()
-}
-
-// selectKeepers sets the keepers in use. The caller must hold mu.
-func (v *Versioner) selectKeepers() {
-	v.keepers = v.agents
-	if len(v.fallback) > 0 {
-		v.keepers = fallbackKeepers(v.fallback)
-	}
+	v.s.Log.Info().Strs("members", controls.ready).Strs("hosts", controls.all).Msg("control hosts that keep software versions changed")
+	v.controls = controls
 }
 
 // Agents returns the servers whose agents the entry must have sessions with.
@@ -171,7 +162,7 @@
 	return v.agents.all
 }
 
-// Record keeps the origin of a stream that begins, for the time ttl, and gives it to agents.
+// Record keeps the origin of a stream that begins, for the time ttl, and gives it to keepers.
 func (v *Versioner) Record(id string, o Origin, ttl time.Duration) {
 	now := v.s.Timer.Now()
 	r := v.own.put(now, id, o, ttl)
@@ -183,25 +174,31 @@
 	v.distribute(now, r)
 }
 
-// distribute gives an origin to the agents that should keep it and do not have it yet. The
-// caller must hold mu.
+// distribute gives an origin to the agents and the control hosts that should keep it and do not
+// have it yet. The caller must hold mu.
 func (v *Versioner) distribute(now time.Time, r *record) {
+	v.distributeWithin(v.agents, now, r)
+	v.distributeWithin(v.controls, now, r)
+}
+
+// distributeWithin gives an origin to keepers of one set. The caller must hold mu.
+func (v *Versioner) distributeWithin(set *keeperSet, now time.Time, r *record) {
 	kept := 0
-	for _, server := range rank(r.id, v.keepers.ready, len(v.keepers.ready)) {
-		if kept == copies {
+	for _, name := range rank(r.id, set.ready, len(set.ready)) {
+		if kept == set.copies {
 			return
 		}
-		epoch, ok := v.s.Agents.Epoch(server)
+		epoch, ok := v.s.Keepers.Epoch(name)
 		if !ok {
 			continue
 		}
-		k := keeper{server, epoch}
+		k := keeper{name, epoch}
 		if slices.Contains(r.copies, k) {
 			kept++
 
 			continue
 		}
-		if !v.s.Agents.Keep(server, r.id, r.origin, r.expires.Sub(now)) {
+		if !v.s.Keepers.Keep(name, r.id, r.origin, r.expires.Sub(now)) {
 			continue
 		}
 		r.copies = append(r.copies, k)
@@ -210,14 +207,16 @@
 	}
 }
 
-// repair gives the origins to other agents where the sessions with the keepers have changed.
+// repair gives the origins to other keepers where the sessions with them have changed.
 func (v *Versioner) repair(now time.Time) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	var sessions []keeper
-	for _, server := range v.keepers.ready {
-		if epoch, ok := v.s.Agents.Epoch(server); ok {
-			sessions = append(sessions, keeper{server, epoch})
+	for _, set := range []*keeperSet{v.agents, v.controls} {
+		for _, name := range set.ready {
+			if epoch, ok := v.s.Keepers.Epoch(name); ok {
+				sessions = append(sessions, keeper{name, epoch})
+			}
 		}
 	}
 	if slices.Equal(sessions, v.sessions) {
@@ -229,7 +228,7 @@
 	}
 }
 
-// Locate returns the origin of a stream. It asks agents unless this entry has served the
+// Locate returns the origin of a stream. It asks keepers unless this entry has served the
 // stream.
 func (v *Versioner) Locate(ctx context.Context, id string) (Origin, Answer) {
 	if o, ok := v.own.Get(v.s.Timer.Now(), id); ok {
@@ -240,7 +239,7 @@
 	if id == "" || len(id) > MaxIDBytes {
 		return Origin{}, Unknown
 	}
-	l := &lookup{v: v, id: id, asked: make(map[string]bool), replies: make(chan reply, maxLookups)}
+	l := &lookup{v: v, id: id, asked: make(map[string]bool), replies: make(chan reply, 2*maxLookups)}
 	o, answer := l.run(ctx)
 	v.metrics.observeLookup(answer)
 
--- a/internal/versioner/versioner_test.go
+++ b/internal/versioner/versioner_test.go
@@ -120,7 +120,7 @@
 	t.Helper()
 	clock := timer.New()
 	t.Cleanup(clock.Close)
-	v, err := versioner.New(versioner.Settings{Agents: agents, Timer: clock})
+	v, err := versioner.New(versioner.Settings{Keepers: agents, Timer: clock})
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -258,22 +258,31 @@
 	}
 }
 
+// addControlHosts starts control hosts and returns their names.
+func (f *fakeAgents) addControlHosts(n int) []string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var names []string
+	for i := range n {
+		name := fmt.Sprint("control", i)
+		f.agents[name] = &fakeAgent{store: versioner.NewStore(1000), epoch: 1}
+		names = append(names, name)
+	}
+
+	return names
+}
+
 // Guards against a fleet without agents in which the origins are kept by nobody.
-func TestFallbackKeepsOrigins(t *testing.T) {
+func TestControlHostsKeepOrigins(t *testing.T) {
 	agents := newFakeAgents(4)
 	for server := range agents.agents {
 		agents.change(server, func(a *fakeAgent) { a.absent = true })
 	}
 	one, two := newVersioner(t, agents), newVersioner(t, agents)
 	one.Record("r", origin, time.Minute)
-	agents.mu.Lock()
-	for i := range 3 {
-		agents.agents[fmt.Sprint("control", i)] = &fakeAgent{store: versioner.NewStore(10), epoch: 1}
-	}
-	agents.mu.Unlock()
-	names := []string{"control0", "control1", "control2"}
+	names := agents.addControlHosts(3)
 	for _, v := range []*versioner.Versioner{one, two} {
-		v.SetFallback(names)
+		v.SetControlHosts(names, nil)
 	}
 	one.Record("q", origin, time.Minute)
 	for _, id := range []string{"q", "r"} {
@@ -287,14 +296,68 @@
 			t.Errorf("stream %s: got %v %v, want %v", id, got, o, versioner.Known)
 		}
 	}
-	one.SetFallback(nil)
 	agents.change("s1", func(a *fakeAgent) { a.absent = false })
 	one.Record("p", origin, time.Minute)
-	if got, want := agents.holders("p"), []string{"s1"}; !slices.Equal(got, want) {
+	if got, want := agents.holders("p"), slices.Concat(names, []string{"s1"}); !slices.Equal(got, want) {
 		t.Errorf("keepers after an agent has come: got %v, want %v", got, want)
 	}
 }
 
+// Guards against a stream whose version is lost because its entry, all agents and as many control hosts as may be lost end at once.
+func TestOriginOutlivesEntryAndAgents(t *testing.T) {
+	for name, test := range map[string]struct{ hosts, lost, copies int }{
+		"one host":    {1, 0, 1},
+		"three hosts": {3, 1, 3},
+		"four hosts":  {4, 1, 3},
+		"six hosts":   {6, 2, 3},
+		"nine hosts":  {9, 4, 5},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			agents := newFakeAgents(9)
+			servers := agents.servers()
+			hosts := agents.addControlHosts(test.hosts)
+			add := func() *versioner.Versioner {
+				v := newVersioner(t, agents)
+				v.SetServers(servers)
+				v.SetControlHosts(hosts, nil)
+
+				return v
+			}
+			add().Record("r", origin, time.Minute)
+			copies := slices.DeleteFunc(agents.holders("r"), func(name string) bool { return !slices.Contains(hosts, name) })
+			if got, want := len(copies), test.copies; got != want {
+				t.Fatalf("copies at control hosts: got %d, want %d", got, want)
+			}
+			for _, s := range servers {
+				if s.Stage != placer.Plain {
+					agents.restart(s.ID)
+				}
+			}
+			agents.end(copies[:test.lost]...)
+			if o, got := add().Locate(t.Context(), "r"); got != versioner.Known || o != origin {
+				t.Errorf("stream: got %v %v, want %v", got, o, versioner.Known)
+			}
+		})
+	}
+}
+
+// Guards against a stream that is not found because its keeper is no longer a member, or because entries know other control hosts.
+func TestFormerControlHostsAreAsked(t *testing.T) {
+	agents := newFakeAgents(0)
+	one, two := newVersioner(t, agents), newVersioner(t, agents)
+	hosts := agents.addControlHosts(2)
+	one.SetControlHosts(hosts[:1], hosts)
+	one.Record("r", origin, time.Minute)
+	if got, want := agents.holders("r"), hosts[:1]; !slices.Equal(got, want) {
+		t.Errorf("keepers: got %v, want only the member %v", got, want)
+	}
+	two.SetControlHosts(hosts[1:], hosts)
+	if o, got := two.Locate(t.Context(), "r"); got != versioner.Known || o != origin {
+		t.Errorf("stream: got %v %v, want %v", got, o, versioner.Known)
+	}
+}
+
 // waitForHolders waits until a number of agents have the origin of a stream.
 func waitForHolders(t *testing.T, agents *fakeAgents, id string, n int) {
 	t.Helper()
