Excuse segments of prompts that were answered well before an outage

Seen by callers: all model servers crash at once and are back after 4.5 s. Cause: a segment is blocked at its third crash unless a request with it is answered well in between. Between crashes at the same moment nothing can be answered, and answers right before them were not looked at, though they are for the digests of whole requests. The block then keeps out what would end it. Evidence: the refusals name their reason. Each server crashes once in TestOutageBlocksNoPromptPart, and reports of one crash count once, so it is the number of servers that is counted. Change: entries remember answered segments as they do digests, and name in the report of a crash those that were answered well since the last outage before. The log does not count the crash against them, and takes back what entries without such an answer have reported in the last 3 s. Why it works: a segment that crashes every server that answers a request with it is never answered well, so it is blocked at the third crash as before.

--- a/internal/correlator/successes.go
+++ b/internal/correlator/successes.go
@@ -10,22 +10,23 @@
 )
 
 const (
-	// maxSuccesses is the number of digests remembered, enough for those of some
-	// minutes.
+	// maxSuccesses is the number of digests remembered, and that of segments, enough for
+	// those of some minutes.
 	maxSuccesses = 1024
 	// outageWindow is the time within which several servers crash for the same
 	// reason.
 	outageWindow = 2 * time.Second
 )
 
-// RecentSuccesses remembers the digests of requests that completed recently. It keeps a
-// harmless request from being reported that callers send repeatedly while servers
-// crash for other reasons, one by one or many at a time: such a request is in flight
-// at many crashes, but completes in between. It is safe for concurrent use.
+// RecentSuccesses remembers the digests of requests that completed recently, and the shared
+// segments of their prompts. It keeps a harmless request from being reported that callers
+// send repeatedly while servers crash for other reasons, one by one or many at a time: such a
+// request is in flight at many crashes, but completes in between. The same holds for the
+// segments that harmless requests share. It is safe for concurrent use.
 type RecentSuccesses struct {
 	mu sync.Mutex
-	// digests holds what is known of each digest since its last crash.
-	digests *lru.Cache[string, success]
+	// digests and segments hold what is known of each since its last crash.
+	digests, segments *lru.Cache[string, success]
 }
 
 // NewRecentSuccesses returns an empty RecentSuccesses.
@@ -34,24 +35,39 @@
 	if err != nil {
 		return nil, errors.Newf("create cache of completed requests: %w", err)
 	}
+	segments, err := lru.New[string, success](maxSuccesses)
+	if err != nil {
+		return nil, errors.Newf("create cache of segments: %w", err)
+	}
 
-	return &RecentSuccesses{digests: digests}, nil
+	return &RecentSuccesses{digests: digests, segments: segments}, nil
 }
 
-// success is the first completion of a digest since its last crash.
+// success is the first completion of a digest, or of a request with a segment, since its last
+// crash.
 type success struct {
 	at    time.Time
 	crash time.Time // first crash after it, zero if there was none
+	// outage is the first crash after the completion before, zero if there was none.
+	outage time.Time
 }
 
-// RecordSuccess records that a request completed.
-func (s *RecentSuccesses) RecordSuccess(now time.Time, digest string) {
+// RecordSuccess records that a request completed, with the given segments of its prompt.
+func (s *RecentSuccesses) RecordSuccess(now time.Time, digest string, segments []string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if old, ok := s.digests.Get(digest); ok && old.crash.IsZero() {
+	recordSuccess(s.digests, now, digest)
+	for _, name := range segments {
+		recordSuccess(s.segments, now, name)
+	}
+}
+
+func recordSuccess(cache *lru.Cache[string, success], now time.Time, name string) {
+	old, ok := cache.Get(name)
+	if ok && old.crash.IsZero() {
 		return
 	}
-	s.digests.Add(digest, success{at: now})
+	cache.Add(name, success{at: now, outage: old.crash})
 }
 
 // Suspects returns the digests of those requests lost in a crash that may have caused it:
@@ -62,13 +78,7 @@
 	defer s.mu.Unlock()
 	var out []string
 	for _, l := range lost {
-		last, completed := s.digests.Get(l.Digest)
-		completed = completed && !last.at.After(l.At)
-		if completed && last.crash.IsZero() {
-			last.crash = now
-			s.digests.Add(l.Digest, last)
-		}
-		if !completed || now.Sub(last.crash) >= outageWindow {
+		if !completedBefore(s.digests, now, l.Digest, l.At) {
 			out = append(out, l.Digest)
 		}
 	}
@@ -76,3 +86,45 @@
 
 	return slices.Compact(out)
 }
+
+// SoundSegments returns those segments of the requests lost in a crash that cannot have caused
+// it, because a request with them had completed since an earlier outage.
+func (s *RecentSuccesses) SoundSegments(now time.Time, lost []Lost) []string {
+	latest := make(map[string]time.Time)
+	for _, l := range lost {
+		for _, name := range l.Segments {
+			if l.At.After(latest[name]) {
+				latest[name] = l.At
+			}
+		}
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var out []string
+	for name, at := range latest {
+		if completedBefore(s.segments, now, name, at) {
+			out = append(out, name)
+		}
+	}
+	slices.Sort(out)
+
+	return out
+}
+
+// completedBefore reports whether what was lost at a time, in a crash that is found now, had
+// completed since an earlier outage.
+func completedBefore(cache *lru.Cache[string, success], now time.Time, name string, lostAt time.Time) bool {
+	last, ok := cache.Get(name)
+	if !ok {
+		return false
+	}
+	if last.at.After(lostAt) {
+		return !last.outage.IsZero() && lostAt.Sub(last.outage) < outageWindow
+	}
+	if last.crash.IsZero() {
+		last.crash = now
+		cache.Add(name, last)
+	}
+
+	return lostAt.Sub(last.crash) < outageWindow
+}
--- a/internal/gateway/crash_reporter.go
+++ b/internal/gateway/crash_reporter.go
@@ -22,8 +22,8 @@
 	// Suspected reports whether a segment is suspected of crashing servers.
 	Suspected(segment string) bool
 	// Blame reports the requests that were running at a server when it crashed, and the
-	// shared segments of their prompts.
-	Blame(ctx context.Context, server string, digests []string, prefixes [][]string) error
+	// shared segments of their prompts. Those named in sound cannot have caused the crash.
+	Blame(ctx context.Context, server string, digests []string, prefixes [][]string, sound []string) error
 	// Clear reports that a request with these segments was answered well.
 	Clear(ctx context.Context, segments []string) error
 }
@@ -38,7 +38,7 @@
 func (noCrashLedger) Suspected(string) bool { return false }
 
 // Blame implements CrashLedger.
-func (noCrashLedger) Blame(context.Context, string, []string, [][]string) error { return nil }
+func (noCrashLedger) Blame(context.Context, string, []string, [][]string, []string) error { return nil }
 
 // Clear implements CrashLedger.
 func (noCrashLedger) Clear(context.Context, []string) error { return nil }
@@ -156,16 +156,17 @@
 			prefixes = append(prefixes, l.Segments)
 		}
 	}
+	sound := c.recentSuccesses.SoundSegments(now, lost)
 	suspects := c.recentSuccesses.Suspects(now, lost)
 	suspects = suspects[:min(len(suspects), maxSuspects)]
 	c.g.s.Log.Warn().Str("server", s.ID).Str("addr", s.Addr).Strs("digests", digests).Strs("ids", ids).Strs("suspects", suspects).
-		Interface("prefixes", prefixes).Bool("replaced", status.Replaced).Bool("silent", state == correlator.Silent).Err(err).Msg("server crashed while running requests")
+		Interface("prefixes", prefixes).Strs("sound", sound).Bool("replaced", status.Replaced).Bool("silent", state == correlator.Silent).Err(err).Msg("server crashed while running requests")
 	if len(suspects) == 0 && len(prefixes) == 0 {
 		return
 	}
 	bounded, cancel := context.WithTimeout(ctx, reportTimeout)
 	defer cancel()
-	if err := c.g.s.CrashLedger.Blame(bounded, s.ID, suspects, prefixes); err != nil {
+	if err := c.g.s.CrashLedger.Blame(bounded, s.ID, suspects, prefixes, sound); err != nil {
 		c.g.s.Log.Warn().Str("server", s.ID).Strs("suspects", suspects).Err(err).Msg("failed to report crash")
 	}
 }
@@ -173,7 +174,7 @@
 // noteAnswered records that a server has answered a request well, with the given segments of
 // its prompt. Segments that are suspected of crashing servers are cleared for all gateways.
 func (c *crashReporter) noteAnswered(digest string, segments []string) {
-	c.recentSuccesses.RecordSuccess(c.g.s.Timer.Now(), digest)
+	c.recentSuccesses.RecordSuccess(c.g.s.Timer.Now(), digest, segments)
 	var suspected []string
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/gateway/crash_reporter_test.go
+++ b/internal/gateway/crash_reporter_test.go
@@ -24,6 +24,7 @@
 	// blockedNames are the names that are blocked, and suspected those that are suspected.
 	blockedNames, suspected []string
 	prefixes                [][]string
+	sound                   []string
 	clears                  chan []string // segments cleared by each call
 }
 
@@ -56,10 +57,11 @@
 	return nil
 }
 
-func (l *fakeLedger) Blame(_ context.Context, server string, digests []string, prefixes [][]string) error {
+func (l *fakeLedger) Blame(_ context.Context, server string, digests []string, prefixes [][]string, sound []string) error {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.prefixes = append(l.prefixes, prefixes...)
+	l.sound = append(l.sound, sound...)
 	l.blames = append(l.blames, server)
 	l.digests = append(l.digests, digests...)
 
@@ -295,6 +297,21 @@
 	}
 }
 
+// Guards against an outage that is taken for proof against segments with which requests were answered well shortly before.
+func TestSoundSegmentsAreNamed(t *testing.T) {
+	b := newCrashingBackend(t, "s")
+	ledger := &fakeLedger{}
+	r := newTestGatewayWith(t, func(s *gateway.Settings) { s.CrashLedger = ledger }, b.server(placer.Decode))
+	r.call(t, http.MethodPost, "/stream/x", "good", http.Header{"Segment": {"first", "second"}})
+	r.call(t, http.MethodPost, "/stream/x", "bad", http.Header{"Segment": {"first", "third"}})
+	ledger.await(testTimeout, 1)
+	ledger.mu.Lock()
+	defer ledger.mu.Unlock()
+	if got, want := fmt.Sprint(ledger.prefixes, ledger.sound), "[[segment:first segment:third]] [segment:first]"; got != want {
+		t.Errorf("blamed, sound: got %s, want %s", got, want)
+	}
+}
+
 // Guards against segments that stay suspected although a request with them was answered well, and against clearing others.
 func TestSuspectedSegmentsAreCleared(t *testing.T) {
 	unframed := func(w http.ResponseWriter, _ *http.Request) {
--- a/internal/gateway/server_end_test.go
+++ b/internal/gateway/server_end_test.go
@@ -310,7 +310,7 @@
 func (*stuckLedger) Clear(context.Context, []string) error { return nil }
 
 // Blame implements gateway.CrashLedger.
-func (l *stuckLedger) Blame(ctx context.Context, _ string, _ []string, _ [][]string) error {
+func (l *stuckLedger) Blame(ctx context.Context, _ string, _ []string, _ [][]string, _ []string) error {
 	l.once.Do(func() { close(l.entered) })
 	<-ctx.Done()
 
--- a/internal/registrar/segment.go
+++ b/internal/registrar/segment.go
@@ -6,6 +6,8 @@
 	"strconv"
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	"github.com/damasklever/damasklever/internal/parser"
 	"github.com/damasklever/damasklever/internal/wire"
 )
@@ -26,6 +28,9 @@
 	// block is twice as long, up to maxSegmentBlock.
 	firstSegmentBlock = time.Minute
 	maxSegmentBlock   = time.Hour
+	// outageWindow is the time within which reports may be of one outage. It covers the time
+	// to find out that a silent server has crashed.
+	outageWindow = 3 * time.Second
 	// segmentRetention is how long a segment is remembered after its last crash.
 	segmentRetention = 2 * time.Hour
 	maxSegments      = 4_096
@@ -36,12 +41,17 @@
 // is blocked again at its first crash.
 //
 // Requests that share a segment with a crashing one are on the server too, so the crashes of
-// a segment only count until a request with it is answered well (clearSegments).
+// a segment only count until a request with it is answered well (clearSegments). The servers
+// may also crash for another reason, many at once, so that the first crashes after such an
+// answer do not count (excuseSegment).
 func (r *Registrar) blameSegments(index uint64, now time.Time, m *wire.Blame) {
 	if len(m.GetPrefixes()) == 0 {
 		return
 	}
 	r.forgetSegments(index, now)
+	for _, name := range m.GetSound() {
+		r.excuseSegment(index, now, name)
+	}
 	names := segmentNames(m)
 	if slices.ContainsFunc(names, func(name string) bool { return r.blockOf(name).GetUntil() > now.UnixMilli() }) {
 		return // the crash is explained
@@ -49,7 +59,7 @@
 	r.makeRoomForSegments(index, names)
 	for _, p := range m.GetPrefixes() {
 		for i, name := range p.GetSegments() {
-			if name != "" {
+			if name != "" && !slices.Contains(m.GetSound(), name) {
 				r.addIncident(index, now, name, p.GetSegments()[:i], m)
 			}
 		}
@@ -151,7 +161,7 @@
 	var out []string
 	most := segmentThreshold
 	for _, p := range m.GetPrefixes() {
-		name, crashes := r.candidate(p.GetSegments())
+		name, crashes := r.candidate(p.GetSegments(), m.GetSound())
 		if crashes < most || slices.Contains(out, name) {
 			continue
 		}
@@ -168,9 +178,13 @@
 }
 
 // candidate returns the segment of a prefix that explains its crashes best, and their number:
-// the last one that has enough of them. Those before it are shared by more requests.
-func (r *Registrar) candidate(prefix []string) (string, int) {
+// the last one that has enough of them and is not sound. Those before it are shared by more
+// requests.
+func (r *Registrar) candidate(prefix, sound []string) (string, int) {
 	for _, name := range slices.Backward(prefix) {
+		if slices.Contains(sound, name) {
+			continue
+		}
 		if crashes := r.attributable(r.segment(name)); crashes >= segmentThreshold {
 			return name, crashes
 		}
@@ -215,10 +229,7 @@
 // blockSegment blocks a segment. Its crashes no longer count against others.
 func (r *Registrar) blockSegment(index uint64, now time.Time, name, server string) {
 	s := r.segment(name)
-	hold := firstSegmentBlock
-	for range s.GetBlocks() {
-		hold = min(2*hold, maxSegmentBlock)
-	}
+	hold := blockTime(s.GetBlocks())
 	r.put(index, key{parser.Digest, name}, &wire.Block{
 		Digest: name, Until: now.Add(hold).UnixMilli(), Reason: "crashed server " + server + ", blocked " + strconv.Itoa(int(s.GetBlocks())) + " times before",
 		Crashes: int32(len(s.GetIncidents())),
@@ -234,6 +245,34 @@
 	}
 }
 
+// blockTime returns how long a segment is blocked that was blocked a number of times before.
+func blockTime(before int32) time.Duration {
+	hold := firstSegmentBlock
+	for range before {
+		hold = min(2*hold, maxSegmentBlock)
+	}
+
+	return hold
+}
+
+// excuseSegment removes what reports of the present outage hold against a segment, because a
+// request with it was answered well shortly before. The reports are those of gateways that
+// have not seen such an answer.
+func (r *Registrar) excuseSegment(index uint64, now time.Time, name string) {
+	s, _ := proto.Clone(r.segment(name)).(*wire.Segment)
+	if s == nil {
+		return
+	}
+	recent := func(at int64) bool { return now.UnixMilli()-at < outageWindow.Milliseconds() }
+	if s.GetBlocks() > 0 && recent(s.GetUntil()-blockTime(s.GetBlocks()-1).Milliseconds()) {
+		s.Blocks--
+		s.Until = 0
+		r.remove(index, key{parser.Digest, name})
+	}
+	s.Incidents = slices.DeleteFunc(s.GetIncidents(), func(i *wire.Incident) bool { return recent(i.GetTime()) })
+	r.putSegment(index, s)
+}
+
 // sameCrash compares incidents of two segments, whose times differ if they were in different
 // reports of a crash.
 func sameCrash(a, b *wire.Incident) bool {
--- a/internal/registrar/segment_test.go
+++ b/internal/registrar/segment_test.go
@@ -19,6 +19,23 @@
 	m.apply(&wire.Command{Id: m.id(), Body: &wire.Command_Blame{Blame: blame}})
 }
 
+// reportSound reports a crash at which prompts were on a server, some of whose segments are
+// sound.
+func (m *machine) reportSound(server, prompt, sound string) {
+	m.apply(&wire.Command{Id: m.id(), Body: &wire.Command_Blame{Blame: &wire.Blame{
+		Crash: "server " + server, Server: server, After: 3, Span: 2000,
+		Prefixes: []*wire.Prefix{{Segments: strings.Split(prompt, "")}}, Sound: strings.Split(sound, ""),
+	}}})
+}
+
+// outage reports crashes of many servers by an entry that has not seen an answer to a request
+// with the prompt.
+func (m *machine) outage(prompt string) {
+	for _, s := range []string{"s", "t", "u", "v", "w"} {
+		m.reportPrompts(s, prompt)
+	}
+}
+
 func (m *machine) clearSegments(names ...string) {
 	m.apply(&wire.Command{Id: m.id(), Body: &wire.Command_Clear{Clear: &wire.Clear{Segments: names}}})
 }
@@ -125,6 +142,58 @@
 			m.now = m.now.Add(2 * time.Hour)
 			m.reportPrompts("u", "p")
 		}, "", "p"},
+		"sound in an outage": {func(m *machine) {
+			for _, s := range []string{"s", "t", "u", "v", "w"} {
+				m.reportSound(s, "ab", "ab")
+			}
+		}, "", "ab"},
+		"sound in an outage, reported by others before": {func(m *machine) {
+			m.outage("ab")
+			m.reportSound("s", "ab", "ab")
+		}, "", "ab"},
+		"sound in an outage, reported by others after": {func(m *machine) {
+			m.reportSound("s", "ab", "ab")
+			m.reportPrompts("t", "ab")
+			m.reportPrompts("u", "ab")
+			m.reportSound("v", "ab", "ab")
+			m.reportPrompts("w", "ab")
+		}, "", "ab"},
+		"sound in an outage long after its block": {func(m *machine) {
+			m.outage("p")
+			m.now = m.now.Add(3 * time.Second)
+			m.reportSound("x", "p", "p")
+		}, "p", ""},
+		"sound in an outage, crashed before": {func(m *machine) {
+			m.reportPrompts("s", "p")
+			m.reportPrompts("t", "p")
+			m.now = m.now.Add(3 * time.Second)
+			m.reportSound("u", "p", "p")
+			m.reportPrompts("v", "p")
+		}, "p", ""},
+		"blocked again in an outage": {func(m *machine) {
+			m.outage("p")
+			m.now = m.now.Add(time.Minute)
+			m.outage("p")
+			m.now = m.now.Add(time.Second)
+			m.reportSound("x", "p", "p")
+		}, "", "p"},
+		"sound segment before a crashing one": {func(m *machine) {
+			for _, s := range []string{"s", "t", "u"} {
+				m.reportSound(s, "ap", "a")
+			}
+		}, "p", "a"},
+		"sound segment after a crashing one": {func(m *machine) {
+			for _, s := range []string{"s", "t", "u"} {
+				m.reportSound(s, "pa", "a")
+			}
+		}, "p", "a"},
+		"sound, then crashing": {func(m *machine) {
+			m.reportSound("s", "p", "p")
+			m.now = m.now.Add(time.Second)
+			for _, s := range []string{"s2", "t", "u"} {
+				m.reportPrompts(s, "p")
+			}
+		}, "p", ""},
 		"released by an operator": {func(m *machine) {
 			for _, s := range []string{"s", "t", "u"} {
 				m.reportPrompts(s, "p")
--- a/internal/subscriber/crashledger.go
+++ b/internal/subscriber/crashledger.go
@@ -46,11 +46,11 @@
 func (l *CrashLedger) Suspected(segment string) bool { return l.s.View().Suspected(segment) }
 
 // Blame reports the digests and the shared segments of the prompts of the requests that were
-// on a server when it crashed. It retries until a control host has stored the report or ctx
-// ends.
-func (l *CrashLedger) Blame(ctx context.Context, server string, digests []string, prefixes [][]string) error {
+// on a server when it crashed, and which segments cannot have caused it. It retries until a
+// control host has stored the report or ctx ends.
+func (l *CrashLedger) Blame(ctx context.Context, server string, digests []string, prefixes [][]string, sound []string) error {
 	blame := &wire.Blame{
-		Digests: digests, Server: server, Crash: "server " + server, After: blockAfterCrashes, Span: crashReportWindow.Milliseconds(),
+		Digests: digests, Server: server, Crash: "server " + server, After: blockAfterCrashes, Span: crashReportWindow.Milliseconds(), Sound: sound,
 	}
 	for _, segments := range prefixes {
 		blame.Prefixes = append(blame.Prefixes, &wire.Prefix{Segments: segments})
