Show sound streams refused for a minute for a part that is not theirs

The case: a part of prompts crashes servers, between two parts that all sound requests have, and the streams of the servers end with their channels. Such an end does not count as an answer that clears the parts of its prompt, so that a sound part is blocked in place of the crashing one.

--- a/review/_lab3/main.go
+++ b/review/_lab3/main.go
@@ -27,6 +27,7 @@
 var cases = map[string]func(*lab, bool) (outcome, string){
 	"reports": endlessReports,
 	"limits":  raisedLimit,
+	"part":    badPartUnframed,
 }
 
 func main() {
