Show answers of HTTP/1.0 passed on with their chunk sizes

The case: a server spoils some answers, which say HTTP/1.0 and come in chunks. net/http ignores the chunks of HTTP/1.0, and the end of the channel is taken for the end of the body, also where the last chunk is missing.

--- a/review/_lab3/main.go
+++ b/review/_lab3/main.go
@@ -26,6 +26,7 @@
 
 var cases = map[string]func(*lab, bool) (outcome, string){
 	"reports": endlessReports,
+	"http10":  chunksOfHTTP10,
 	"limits":  raisedLimit,
 	"part":    badPartUnframed,
 }
