End every process of the review's scripts, on loopback addresses only

A process that was to be started again could outlive its script, and the map of its settings was read and written at once.

--- a/review/_lab3/main.go
+++ b/review/_lab3/main.go
@@ -11,7 +11,9 @@
 import (
 	"fmt"
 	"os"
+	"os/signal"
 	"path/filepath"
+	"syscall"
 	"time"
 )
 
@@ -55,12 +57,18 @@
 	defer l.close()
 	trouble := os.Getenv("TROUBLE") != "0"
 	rec.printf("case %s, trouble %v", name, trouble)
-	// Whatever hangs, the processes are ended in time.
-	time.AfterFunc(115*time.Second, func() {
+	// Whatever hangs, or if the script is ended, the processes are ended too.
+	ended := make(chan os.Signal, 1)
+	signal.Notify(ended, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	go func() {
+		select {
+		case <-ended:
+		case <-time.After(110 * time.Second):
+		}
 		rec.printf("gave up")
 		l.close()
 		os.Exit(int(unplayed))
-	})
+	}()
 	result, text := cases[name](l, trouble)
 	rec.printf("%s", text)
 	fmt.Println([]string{"held:", "BROKEN:", "could not run:"}[result], text)
--- a/review/_lab3/process.go
+++ b/review/_lab3/process.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"os"
 	"os/exec"
@@ -22,16 +23,14 @@
 	role     string
 	settings map[string]any
 	file     string
+	memoryMB int // limit in the settings
 
 	mu     sync.Mutex
 	cmd    *exec.Cmd
 	exited chan struct{}
-	ends   int
+	closed bool // it is not started any more
 }
 
-// memoryMB returns the memory limit in the settings.
-func (p *process) memoryMB() int { return p.settings["limits"].(map[string]any)["memory_mb"].(int) }
-
 // writeSettings writes the settings file. JSON is valid YAML.
 func (p *process) writeSettings() error {
 	text, err := json.MarshalIndent(p.settings, "", " ")
@@ -42,7 +41,13 @@
 	return os.WriteFile(p.file, text, 0o600)
 }
 
+// start starts the process, unless the lab is closing.
 func (p *process) start() error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.closed {
+		return errClosed
+	}
 	if err := p.writeSettings(); err != nil {
 		return err
 	}
@@ -58,15 +63,10 @@
 		return errors.Join(err, out.Close())
 	}
 	exited := make(chan struct{})
-	p.mu.Lock()
 	p.cmd, p.exited = cmd, exited
-	p.mu.Unlock()
 	go func() {
 		_ = cmd.Wait()
 		_ = out.Close()
-		p.mu.Lock()
-		p.ends++
-		p.mu.Unlock()
 		close(exited)
 	}()
 
@@ -91,6 +91,16 @@
 	return p.cmd.Process.Pid
 }
 
+var errClosed = errors.New("the lab is closing")
+
+// close ends the process for good.
+func (p *process) close() {
+	p.mu.Lock()
+	p.closed = true
+	p.mu.Unlock()
+	p.kill()
+}
+
 // kill ends the process and waits for that.
 func (p *process) kill() {
 	p.mu.Lock()
@@ -154,17 +164,16 @@
 	return l, nil
 }
 
-// freePorts returns the first of 16 ports that are free now.
+// freePorts returns the first of 16 ports that are free on the addresses of all machines. They are
+// below those that the system gives to outgoing connections.
 func freePorts() (int, error) {
-	for base := 20000; base < 60000; base += 16 {
-		free := true
-		for port := base; port < base+16 && free; port++ {
-			l, err := net.Listen("tcp", "0.0.0.0:"+strconv.Itoa(port))
-			if free = err == nil; free {
-				_ = l.Close()
-			}
-		}
-		if free {
+	const first, count = 10000, 1300
+	var ips []string
+	for n := 1; n <= 9; n++ {
+		ips = append(ips, controlIP(n), entryIP(n), serverIP(n))
+	}
+	for offset, begin := 0, rand.IntN(count); offset < count; offset++ {
+		if base := first + 16*((begin+offset)%count); areFree(ips, base) {
 			return base, nil
 		}
 	}
@@ -172,9 +181,24 @@
 	return 0, errors.New("no free ports")
 }
 
+// areFree reports whether 16 ports are free on all addresses.
+func areFree(ips []string, base int) bool {
+	for port := base; port < base+16; port++ {
+		for _, ip := range ips {
+			l, err := net.Listen("tcp", net.JoinHostPort(ip, strconv.Itoa(port)))
+			if err != nil {
+				return false
+			}
+			_ = l.Close()
+		}
+	}
+
+	return true
+}
+
 func (l *lab) close() {
 	for _, p := range l.processes {
-		p.kill()
+		p.close()
 	}
 	l.list.close()
 	if os.Getenv("KEEP") == "" {
@@ -198,7 +222,7 @@
 // add adds a process that is not started yet. Its settings are those of the guild-lever site.
 func (l *lab) add(role, ip, app string, memoryMB, files int, listen map[string]string) *process {
 	name := role + "-" + ip
-	p := &process{lab: l, name: name, role: role, file: filepath.Join(l.dir, name+".yaml")}
+	p := &process{lab: l, name: name, role: role, memoryMB: memoryMB, file: filepath.Join(l.dir, name+".yaml")}
 	p.settings = map[string]any{
 		"node_name": name, "role": role, "machine_class": "front", "ip": ip, "zone": "kochi-a", "region": "kochi",
 		"zones":  map[string]string{"kochi-a": "kochi", "thrissur-a": "thrissur", "kozhikode-a": "kozhikode"},
@@ -275,6 +299,8 @@
 // restartLater starts a process again shortly after it was ended, as the platform does.
 func restartLater(p *process) {
 	time.Sleep(500 * time.Millisecond)
+	p.mu.Lock()
 	p.settings["bootstrap"] = false
+	p.mu.Unlock()
 	_ = p.start()
 }
--- a/review/_lab3/reports.go
+++ b/review/_lab3/reports.go
@@ -77,18 +77,18 @@
 		for _, p := range controls {
 			used := p.anonymousMB()
 			peak[p] = max(peak[p], used)
-			if used <= float64(p.memoryMB()) {
+			if used <= float64(p.memoryMB) {
 				continue
 			}
 			ends[p]++
-			l.record.printf("%s uses %.1f MB of %d MB; the platform kills it, the %d. time", p.name, used, p.memoryMB(), ends[p])
+			l.record.printf("%s uses %.1f MB of %d MB; the platform kills it, the %d. time", p.name, used, p.memoryMB, ends[p])
 			p.kill()
 			go restartLater(p)
 		}
 	}
 	text, machines, total := "", 0, 0
 	for _, p := range controls {
-		text += fmt.Sprintf("%s: at most %.0f MB of %d, ended %d times; ", p.name, peak[p], p.memoryMB(), ends[p])
+		text += fmt.Sprintf("%s: at most %.0f MB of %d, ended %d times; ", p.name, peak[p], p.memoryMB, ends[p])
 		total += ends[p]
 		if ends[p] >= endsOfRule {
 			machines++
