Show an outage right after a restart of the entries

Rule Starved, case 14. What entries know of sound parts of prompts is lost when they are restarted, and the log keeps nothing of it.

--- a/review/14/run.sh
+++ b/review/14/run.sh
@@ -6,4 +6,4 @@
 folder=$(cd "$(dirname "$0")" && pwd)
 cd "$folder/../.." || exit 2
 [ -x target/node ] && [ -x target/lab3 ] || exit 2
-exec target/lab3 limits "$folder"
+exec target/lab3 fresh "$folder"
--- a/review/_lab3/main.go
+++ b/review/_lab3/main.go
@@ -31,6 +31,7 @@
 	"http10":  chunksOfHTTP10,
 	"limits":  raisedLimit,
 	"part":    badPartUnframed,
+	"fresh":   outageAfterRoll,
 }
 
 func main() {
--- a/review/_lab3/model.go
+++ b/review/_lab3/model.go
@@ -15,11 +15,13 @@
 )
 
 // modelServer is a sound model server. Its streams come with neither a length nor chunks and end with
-// their channels, as the news page allows.
+// their channels, as the news page allows, or in chunks.
 type modelServer struct {
 	lab                *lab
 	id, address, stage string
 	onRun              func(x *modelServer, prompt string) bool // false if the server has crashed
+	chunked            bool                                     // its streams come in chunks
+	pace               time.Duration                            // between two events
 	handles            atomic.Int64
 	mu                 sync.Mutex
 	listener           net.Listener
@@ -29,7 +31,7 @@
 }
 
 func (l *lab) newModelServer(n int, stage string) (*modelServer, error) {
-	x := &modelServer{lab: l, id: fmt.Sprintf("m-%d", n), stage: stage, address: net.JoinHostPort(serverIP(n), "0")}
+	x := &modelServer{lab: l, id: fmt.Sprintf("m-%d", n), stage: stage, address: net.JoinHostPort(serverIP(n), "0"), pace: 8 * time.Millisecond}
 
 	return x, x.start()
 }
@@ -137,9 +139,9 @@
 	if !x.onRun(x, r.Header.Get("X-Damasklever-Prompt-Prefix")) {
 		return false
 	}
-	x.stream(conn, r, id, prompt, output)
+	err := x.stream(conn, r, id, prompt, output)
 
-	return false
+	return err == nil && x.chunked
 }
 
 // usage returns the tokens of a prompt and the most tokens of its answer.
@@ -152,7 +154,7 @@
 }
 
 // stream runs a request and writes its events.
-func (x *modelServer) stream(conn net.Conn, r *http.Request, id string, prompt, output int) {
+func (x *modelServer) stream(conn net.Conn, r *http.Request, id string, prompt, output int) error {
 	x.mu.Lock()
 	x.running[id] = prompt
 	x.mu.Unlock()
@@ -165,11 +167,24 @@
 	if r.Header.Get("X-Damasklever-Kv-Source") == "" {
 		time.Sleep(time.Duration(prompt/27) * time.Millisecond)
 	}
-	_, err := fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Type: text/event-stream\r\nX-Damasklever-Request-Id: %s\r\nX-Damasklever-Server-Signature: sig.%s.%s\r\n\r\n", id, x.id, id)
+	framing := "Connection: close"
+	if x.chunked {
+		framing = "Transfer-Encoding: chunked"
+	}
+	_, err := fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\n%s\r\nContent-Type: text/event-stream\r\nX-Damasklever-Request-Id: %s\r\nX-Damasklever-Server-Signature: sig.%s.%s\r\n\r\n", framing, id, x.id, id)
 	for event := 1; event <= max(output/2, 1) && err == nil; event++ {
-		time.Sleep(8 * time.Millisecond)
-		_, err = fmt.Fprintf(conn, "id: %d\ndata: token %d of %s.\n\n", event, event, id)
+		time.Sleep(x.pace)
+		text := fmt.Sprintf("id: %d\ndata: token %d of %s.\n\n", event, event, id)
+		if x.chunked {
+			text = fmt.Sprintf("%x\r\n%s\r\n", len(text), text)
+		}
+		_, err = io.WriteString(conn, text)
 	}
+	if err == nil && x.chunked {
+		_, err = io.WriteString(conn, "0\r\n\r\n")
+	}
+
+	return err
 }
 
 func (x *modelServer) report() map[string]any {
