--- a/review/_lab3/fresh.go
+++ b/review/_lab3/fresh.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -215,12 +216,14 @@
 		l.record.printf("all model servers crash, for %v", downTime)
 		for _, x := range models {
 			x.crash()
-			time.AfterFunc(downTime, func() { _ = x.start() })
+			time.AfterFunc(downTime, x.restart)
 		}
-		time.AfterFunc(downTime, func() { l.record.printf("all model servers are back") })
 	}
 	traffic.Wait()
 	time.Sleep(6 * time.Second)
+	if slices.ContainsFunc(models, (*modelServer).isLost) {
+		return unplayed, "a model server could not start again"
+	}
 
 	return d.judge(kinds)
 }
@@ -235,9 +238,12 @@
 		}
 		l.record.printf("%s gets SIGTERM", e.name)
 		back.Go(func() {
+			e.mu.Lock()
+			exited := e.exited
+			e.mu.Unlock()
 			e.signal(syscall.SIGTERM)
 			select {
-			case <-e.exited:
+			case <-exited:
 			case <-time.After(8 * time.Second): // grace_s
 				l.record.printf("%s gets SIGKILL", e.name)
 				e.kill()
--- a/review/_lab3/model.go
+++ b/review/_lab3/model.go
@@ -25,6 +25,7 @@
 	handles            atomic.Int64
 	mu                 sync.Mutex
 	listener           net.Listener
+	lost               bool // it could not start again
 	conns              map[net.Conn]bool
 	running            map[string]int // memory by request
 	born               int64
@@ -65,6 +66,23 @@
 	return nil
 }
 
+// restart starts the server again after it has crashed.
+func (x *modelServer) restart() {
+	err := x.start()
+	x.lab.record.printf("server %s is back, error: %v", x.id, err)
+	x.mu.Lock()
+	x.lost = x.lost || err != nil
+	x.mu.Unlock()
+}
+
+// isLost reports whether the server could not start again, so that the case can't be judged.
+func (x *modelServer) isLost() bool {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+
+	return x.lost
+}
+
 // crash breaks all channels of the server. It returns false if the server is down already.
 func (x *modelServer) crash() bool {
 	x.mu.Lock()
--- a/review/_lab3/part.go
+++ b/review/_lab3/part.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -52,7 +53,7 @@
 	n := len(p.crashes)
 	p.mu.Unlock()
 	p.l.record.printf("server %s crashes, crash %d", x.id, n)
-	time.AfterFunc(backAfter, func() { _ = x.start() })
+	time.AfterFunc(backAfter, x.restart)
 
 	return false
 }
@@ -118,6 +119,7 @@
 		p.entries = append(p.entries, l.addEntry(n))
 	}
 	started := append(append([]*process{}, controls...), p.entries...)
+	var models []*modelServer
 	for n := 1; n <= 9; n++ {
 		stage := "decode"
 		if n%3 == 0 {
@@ -128,6 +130,7 @@
 			return unplayed, err.Error()
 		}
 		x.onRun = p.onRun
+		models = append(models, x)
 		defer x.crash()
 		started = append(started, l.addAgent(n, x.address))
 	}
@@ -150,6 +153,9 @@
 	}
 	every(soundInterval, during, func() { p.send("sound", timeLimit, 1, firstPart, nextPart) })
 	time.Sleep(4 * time.Second)
+	if slices.ContainsFunc(models, (*modelServer).isLost) {
+		return unplayed, "a model server could not start again"
+	}
 
 	p.mu.Lock()
 	defer p.mu.Unlock()
